--- /dev/null
+++ b/sloepond/core/commands.py
@@ -0,0 +1,94 @@
+"""Commands returned by the node: what is to be done outside."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from sloepond.core.messages import PeerMessage
+from sloepond.core.packets import BackendPacket, CallerReply
+
+
+class SendToCaller(msgspec.Struct, frozen=True, gc=False):
+    """Send a packet to the caller named in `reply.flow`."""
+
+    reply: CallerReply
+
+
+class SendToBackend(msgspec.Struct, frozen=True, gc=False):
+    """Send a packet to a back end at `address` (`ip:port`)."""
+
+    address: str
+    packet: BackendPacket
+
+
+class SendToPeer(msgspec.Struct, frozen=True, gc=False):
+    """Send a message to the balancer at peer address `address` (`ip:port`)."""
+
+    address: str
+    message: PeerMessage
+
+
+class ReadConfiguration(msgspec.Struct, frozen=True):
+    """Read the platform's configuration, unless it is `known_generation` still."""
+
+    known_generation: int
+
+
+class ReadMachineList(msgspec.Struct, frozen=True):
+    """Read the platform's list of machines."""
+
+
+class ProbeBackend(msgspec.Struct, frozen=True):
+    """Ask a back end for its health and load; answer with `BackendProbed`."""
+
+    backend: str
+    address: str
+
+
+class TransitionKind(enum.StrEnum):
+    """Changes of state worth a log line."""
+
+    STATE_CHANGED = "state-changed"
+    VIEW_CHANGED = "view-changed"
+    LEASE_GAINED = "lease-gained"
+    LEASE_LOST = "lease-lost"
+    MEMBER_SUSPECTED = "member-suspected"
+    MEMBER_RECOVERED = "member-recovered"
+    CONFIGURATION_IN_FORCE = "configuration-in-force"
+    CONFIGURATION_REJECTED = "configuration-rejected"
+    CONFIGURATION_SERVICE_DOWN = "configuration-service-down"
+    CONFIGURATION_SERVICE_UP = "configuration-service-up"
+    BACKEND_EJECTED = "backend-ejected"
+    BACKEND_RESTORED = "backend-restored"
+    STALL_DETECTED = "stall-detected"
+    TRANSFER_COMPLETED = "transfer-completed"
+
+
+class RecordTransition(msgspec.Struct, frozen=True):
+    """Write one log line for a change of state.
+
+    :ivar subject: what changed (a member, back end or this balancer).
+    :ivar detail: short text of the new state and why.
+    """
+
+    kind: TransitionKind
+    subject: str
+    detail: str
+
+
+class CompleteStop(msgspec.Struct, frozen=True):
+    """The planned stop is complete; the process may exit."""
+
+
+Command = (
+    SendToCaller
+    | SendToBackend
+    | SendToPeer
+    | ReadConfiguration
+    | ReadMachineList
+    | ProbeBackend
+    | RecordTransition
+    | CompleteStop
+)
--- /dev/null
+++ b/sloepond/core/node.py
@@ -0,0 +1,1 @@
+"""The node: takes events, returns commands.  Under construction."""
--- /dev/null
+++ b/sloepond/core/packets.py
@@ -0,0 +1,166 @@
+"""Packets at the edge of the system, as the core sees them.
+
+The formats that callers and back ends use in the field are met by adapters
+(`sloepond.wire.edge` for the stand-ins); the core only knows these types.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class FlowKey(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Identity of a flow: where it goes, who opened it, and which one it is.
+
+    :ivar service_address: virtual address `ip:port` the caller sent to.
+    :ivar caller_address: address `ip:port` the caller sent from.
+    :ivar incarnation: random number drawn by the caller for each new flow, so
+        that a reused pair of addresses is another flow.
+    """
+
+    service_address: str
+    caller_address: str
+    incarnation: int
+
+
+class CallerPacketKind(enum.IntEnum):
+    """What a caller asks for."""
+
+    OPEN = 0
+    REQUEST = 1
+    CANCEL = 2
+    CLOSE = 3
+    KEEPALIVE = 4
+
+
+class CallerPacket(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One datagram from a caller.
+
+    :ivar request_id: grows by one for each request of the flow, from 1; 0 for
+        packets that are not about a request.
+    :ivar attempt: 0 for the first transmission, then 1, 2, ...
+    :ivar repeatable: whether the request may be run more than once; None takes
+        the default of the service.
+    :ivar timeout_ms: milliseconds the caller still waits; 0 takes the limit of
+        the service.
+    """
+
+    kind: CallerPacketKind
+    flow: FlowKey
+    request_id: int = 0
+    attempt: int = 0
+    repeatable: bool | None = None
+    timeout_ms: int = 0
+    payload: bytes = b""
+
+
+class CallerReplyKind(enum.IntEnum):
+    """What a caller is told."""
+
+    OPENED = 0
+    ANSWER = 1
+    REFUSED = 2
+    """The request was not run and never will be."""
+    UNKNOWN = 3
+    """The request may or may not have been run."""
+    PUSH = 4
+    """Data the back end sends of its own accord (a feed)."""
+    FLOW_LOST = 5
+    """The flow has no back end any more; nothing new was run."""
+    ALIVE = 6
+
+
+class Reason(enum.IntEnum):
+    """Why a request or flow was refused or its outcome is unknown."""
+
+    NONE = 0
+    NO_SERVICE = 1
+    NO_PERMITTED_BACKEND = 2
+    FLOW_LIMIT = 3
+    REQUEST_LIMIT = 4
+    BACKEND_SHED = 5
+    BACKEND_SILENT = 6
+    BACKEND_GONE = 7
+    DEADLINE_PASSED = 8
+    ALREADY_HANDED_OVER = 9
+    NO_LEASE = 10
+    NO_QUORUM = 11
+    FLOW_UNKNOWN = 12
+    CANCELLED = 13
+    LEAVING = 14
+    NOT_CONFIGURED = 15
+    REQUEST_TOO_OLD = 16
+
+
+class CallerReply(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One datagram to a caller.
+
+    :ivar part: index from 0 of this part of the answer, of `parts` in all.
+    :ivar retry_after_ms: when to come back, for REFUSED, UNKNOWN and FLOW_LOST.
+    """
+
+    kind: CallerReplyKind
+    flow: FlowKey
+    request_id: int = 0
+    attempt: int = 0
+    part: int = 0
+    parts: int = 1
+    reason: Reason = Reason.NONE
+    retry_after_ms: int = 0
+    payload: bytes = b""
+
+
+class BackendPacket(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One datagram to a back end.
+
+    :ivar timeout_ms: milliseconds left; a back end must not start the request
+        after that.
+    """
+
+    kind: CallerPacketKind
+    flow: FlowKey
+    request_id: int = 0
+    attempt: int = 0
+    timeout_ms: int = 0
+    payload: bytes = b""
+
+
+class BackendReplyKind(enum.IntEnum):
+    """What a back end says."""
+
+    OPENED = 0
+    ANSWER = 1
+    REFUSED = 2
+    """Shed, full or draining: the packet was not run."""
+    PUSH = 3
+    FLOW_UNKNOWN = 4
+    """The back end does not hold this flow: the packet was not run."""
+    CANCELLED = 5
+    """The request was cancelled before it was started: not run."""
+    ALIVE = 6
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Load as a back end reports it.
+
+    :ivar in_flight: requests running or queued.
+    :ivar flows: flows held open.
+    """
+
+    in_flight: int
+    flows: int
+
+
+class BackendReply(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One datagram from a back end, about one flow it was sent packets of."""
+
+    kind: BackendReplyKind
+    flow: FlowKey
+    request_id: int = 0
+    attempt: int = 0
+    part: int = 0
+    parts: int = 1
+    payload: bytes = b""
+    load: LoadReport | None = None
