--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Targets for developers and CI.  Everything runs from .venv, which is made from
+# requirements.lock; only Python 3.11 and make are needed beforehand.
+
+PYTHON ?= python3.11
+BIN := .venv/bin
+BEHAVE_ARGUMENTS ?=
+
+.PHONY: install test lint format lock protocol
+
+install: .venv/.installed
+
+.venv/.installed: requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+test: .venv/.installed
+	$(BIN)/behave $(BEHAVE_ARGUMENTS) features
+
+lint: .venv/.installed
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+format: .venv/.installed
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+lock: .venv/.installed
+	{ sed -n '/^#/p' requirements.lock; \
+	  $(BIN)/pip freeze --all --exclude pip --exclude wheel --exclude sloepond \
+	    | grep -E '^[A-Za-z0-9_.-]+==' | LC_ALL=C sort -f; } > requirements.lock.new
+	mv requirements.lock.new requirements.lock
+
+protocol: .venv/.installed
+	$(BIN)/python -m sloepond.wire.describe > docs/PROTOCOL.md
+
+.PHONY: demo
+
+demo: .venv/.installed
+	$(BIN)/python -m sloepond.demo
--- /dev/null
+++ b/features/configuration/store.feature
@@ -0,0 +1,90 @@
+Feature: The configuration in force
+  The newest accepted generation spreads to every balancer and is never taken back.
+
+  Scenario: Configuration never reverts and is rebuilt exactly under any order of messages
+    Then for any reads, losses, repeats and orders no configuration store reverts and all end equal
+
+  Scenario: Configuration updated by a change equals one compiled from the start
+    Then for any two sets of resources the updated configuration equals the compiled one
+
+  Scenario: Configuration deltas lead from any generation to a later one
+    Then for any sets of resources the composed configuration delta leads from the first to the last
+
+  Scenario: Configuration check limited to a change finds a fault if and only if the whole check does
+    Then for any valid set and any change the limited and batched configuration checks agree with the whole one
+
+  Scenario: Configuration decoding takes no malformed or oversized bytes
+    Then for any bytes the configuration decoder returns a delta or nothing and never fails
+    And the configuration decoder refuses bytes that decompress to more than its limit
+
+  Scenario: Configuration with a fault is rejected as a whole and reported once
+    Given a configuration store with generation 1 in force
+    When the configuration store reads generation 2 with two faults 3 times
+    Then the configuration store has generation 1 in force and reported 1 rejection that names both faults
+
+  Scenario: Configuration of the same generation with other content is reported once and not taken
+    Given a configuration store with generation 1 in force
+    When the configuration store reads generation 1 with other content 3 times
+    And the configuration store hears of generation 1 with that other content
+    Then the configuration store has generation 1 in force and reported 1 rejection
+
+  Scenario: Configuration whose digest does not match is not taken
+    Given a configuration store with generation 1 in force
+    When the configuration store reads generation 2 under a wrong digest
+    Then the configuration store has generation 1 in force and reported 1 rejection
+    When the configuration store reads generation 2
+    Then the configuration store has generation 2 in force
+
+  Scenario: Configuration of a stale service is ignored
+    Given a configuration store with generation 5 in force
+    When the configuration store reads generation 4
+    Then the configuration store has generation 5 in force
+    And the configuration store counted 1 older generation
+
+  Scenario: Configuration service going down and up is reported once each
+    Given a configuration store with generation 1 in force
+    When the configuration service fails 3 reads and answers 2
+    Then the configuration store reported the service down once and up once
+
+  Scenario: Configuration of a starting balancer comes from its peers where the service is stale
+    Given 3 configuration stores with generation 7 in force
+    When the configuration service goes back to generation 3
+    And a configuration store starts anew
+    And the configuration stores run for 10 seconds
+    Then all configuration stores have generation 7 in force and none had another one before
+
+  Scenario: Configuration of a balancer that starts alone is taken after a wait
+    Given a configuration store that starts alone
+    When the configuration store reads generation 3
+    Then the configuration store has generation 0 in force
+    When the configuration stores run for 2.5 seconds
+    Then the configuration store has generation 3 in force
+
+  Scenario: Configuration of a cell comes from the next reader when the first cannot read
+    Given 9 configuration stores with generation 1 in force
+    When the first of the configuration stores can no longer read the service
+    And the configuration service goes on to generation 2
+    And the configuration stores run for 4 seconds
+    Then all configuration stores have generation 2 in force
+    And the configuration service was read at most 16 times
+
+  Scenario: Configuration reaches all cells within 4 seconds through one reader and little traffic
+    Given 6 cells of 8 configuration stores of which one can read the service and 5 percent of messages are lost
+    When the configuration service goes on to a new generation each 4 seconds, 5 times
+    Then all configuration stores had each generation in force within 4 seconds
+    And no configuration store sent more than 2000 bytes a second
+
+  Scenario: Configuration of many parts is rebuilt though the source stops and messages are lost
+    Given 3 configuration stores with 1500 back ends and generation 2 in force
+    And 20 percent of the configuration messages are lost
+    When a configuration store starts anew that cannot read the service
+    And the configuration stores run for 0.2 seconds
+    And the source that the new configuration store asks stops
+    And the configuration stores run for 20 seconds
+    Then all configuration stores have generation 2 in force
+
+  Scenario: Configuration parts that are malformed or not asked for are dropped
+    Given a configuration store with generation 1 in force
+    When malformed configuration parts come to the configuration store
+    Then the configuration store has generation 1 in force
+    And the configuration store counted 4 malformed inputs
--- /dev/null
+++ b/features/lab/runs.feature
@@ -0,0 +1,25 @@
+Feature: Runs of the lab
+
+  Scenario: The lab gives the same measures for the same seed
+    Given a small lab scenario with a drain, a stale configuration service and a denied hall
+    Then two lab runs with seed 7 differ in wall_seconds only
+    And lab runs with seeds 7 and 8 differ
+
+  Scenario: The lab command prints exactly one JSON object
+    When the command lab run steady --json --share 0.0005 --policy stateless is given
+    Then the lab command exits with 0 and prints one object with every measure
+
+  Scenario: The lab command refuses a scenario that does not exist
+    When the command lab run no-such-scenario is given
+    Then the lab command exits with 2 and names the scenarios there are
+
+  Scenario: The lab's network keeps its word on partitions and lifetimes
+    Then datagrams of the lab never cross a partition and never outlive their lifetime
+
+  Scenario: The core keeps its promises in the lab's small scenario
+    Given a small lab scenario
+    When the lab runs it with the core
+    Then the lab finds no broken promise
+
+  Scenario: The core keeps its promises whatever fails in the lab
+    Then the lab finds no broken promise under any drawn timeline of faults
--- /dev/null
+++ b/features/steps/configuration_network.py
@@ -0,0 +1,159 @@
+"""Configuration stores on a simulated clock and network, with a stand-in service."""
+
+from __future__ import annotations
+
+import random
+
+from configuration_resources import FixedView, backend, context_of, resources
+
+from sloepond.core.commands import ReadConfiguration, RecordTransition, SendToPeer
+from sloepond.core.configuration.store import ConfigurationStore
+from sloepond.core.messages import Member
+from sloepond.core.settings import ConfigurationSettings
+from sloepond.resources.compiled import make_snapshot
+from sloepond.resources.model import Location
+from sloepond.wire.codec import encode_message
+
+HALL = Location("accra", "zone-a", "hall-0")
+LATENCY_S = 0.002
+READ_S = 0.005
+STEP_S = 0.02
+HEARTBEAT_S = 0.5
+DATAGRAM_BYTES = 60
+"""Allowance for headers and authentication of one datagram."""
+
+
+def content(generation, count=6):
+    """Return the resources of a generation; each differs from the one before."""
+    declared = resources(count)
+    changed = generation % count
+    declared[-1 - changed] = backend(count - 1 - changed, weight=100 + generation)
+    return declared
+
+
+def snapshot(generation, count=6):
+    return make_snapshot(generation, content(generation, count))
+
+
+class Process:
+    """One store; `generations` holds what it had in force, with the time."""
+
+    def __init__(self, member, view, seed):
+        self.context = context_of(member, random.Random(seed))
+        self.view = view
+        self.store = ConfigurationStore(self.context, ConfigurationSettings(), view)
+        self.generations = []
+        self.transitions = []
+        self.asked = []
+        self.bytes_sent = 0
+        self.may_read = True
+
+
+class Network:
+    """Carries messages between the stores; loses a share of them."""
+
+    def __init__(self, seed=1, count=6):
+        self.random = random.Random(seed)
+        self.count = count
+        self.now = 0.0
+        self.loss = 0.0
+        self.generation = 0
+        self.reads = 0
+        self.processes = {}
+        self.flight = []
+        self.next_heartbeat = 0.0
+
+    def add_cell(self, names, cell):
+        members = [Member(name, 1, f"10.{cell}.0.{n + 1}:1", HALL) for n, name in enumerate(names)]
+        for member in members:
+            self.add(member, FixedView(members))
+        return members
+
+    def add(self, member, view):
+        process = Process(member, view, f"{member.name}-{len(self.processes)}")
+        process.context.now = self.now
+        self.processes[member.address] = process
+        everyone = tuple(item.context.identity for item in self.processes.values())
+        for item in self.processes.values():
+            item.store.foreign_members_known(everyone)
+        return process
+
+    def settle(self, generation):
+        """Let all stores take a generation from the service."""
+        self.generation = generation
+        self.run(3.0)
+        self.reads = 0
+        self.forget_bytes()
+
+    def forget_bytes(self):
+        for process in self.processes.values():
+            process.bytes_sent = 0
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            self._deliver()
+            for address in list(self.processes):
+                self._wake(address)
+            if self.now >= self.next_heartbeat:
+                self.next_heartbeat = self.now + HEARTBEAT_S
+                self._heartbeats()
+
+    def _deliver(self):
+        due = [item for item in self.flight if item[0] <= self.now]
+        self.flight = [item for item in self.flight if item[0] > self.now]
+        for _, address, action in due:
+            if address in self.processes:
+                self.act(address, action)
+
+    def _wake(self, address):
+        if self.processes[address].store.next_deadline() <= self.now:
+            self.act(address, lambda store: store.on_time())
+
+    def _heartbeats(self):
+        for sender, process in self.processes.items():
+            in_force = process.store.in_force
+            for member in process.view.view.members:
+                if member.address != sender:
+                    self._send(member.address, heartbeat(sender, in_force))
+
+    def _send(self, address, action, delay=LATENCY_S):
+        if self.random.random() >= self.loss:
+            self.flight.append((self.now + delay, address, action))
+
+    def act(self, address, action):
+        """Let a store act and carry out its commands."""
+        process = self.processes[address]
+        process.context.now = self.now
+        action(process.store)
+        generation = process.store.in_force.generation
+        if not process.generations or process.generations[-1][0] != generation:
+            process.generations.append((generation, self.now))
+        for command in process.context.take_commands():
+            self._carry_out(address, process, command)
+
+    def _carry_out(self, address, process, command):
+        if isinstance(command, SendToPeer):
+            process.bytes_sent += len(encode_message(command.message)) + DATAGRAM_BYTES
+            process.asked.append(command.address)
+            self._send(command.address, received(address, command.message))
+        elif isinstance(command, ReadConfiguration):
+            self.reads += 1
+            self.flight.append((self.now + READ_S, address, self._read(process)))
+        elif isinstance(command, RecordTransition):
+            process.transitions.append(command)
+
+    def _read(self, process):
+        if not process.may_read or self.generation == 0:
+            return lambda store: store.read_failed("no answer")
+        read = snapshot(self.generation, self.count)
+        return lambda store: store.snapshot_read(read)
+
+
+def heartbeat(sender, in_force):
+    return lambda store: store.generation_heard(sender, in_force.generation, in_force.digest[:8])
+
+
+def received(sender, message):
+    return lambda store: store.handle(sender, message)
--- /dev/null
+++ b/features/steps/configuration_steps.py
@@ -0,0 +1,442 @@
+"""Steps on the configuration store: what is in force, and how it spreads."""
+
+from __future__ import annotations
+
+import zlib
+from collections import Counter
+
+import msgspec
+from behave import given, then, when
+from configuration_network import Network, content, received, snapshot
+from configuration_resources import HALLS, SERVICES, FixedView, backend, resources, service
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from sloepond.core.commands import TransitionKind
+from sloepond.core.configuration.delta import composed, difference
+from sloepond.core.configuration.encoding import (
+    MAXIMUM_DECODED_BYTES,
+    decode_delta,
+    encode_delta,
+)
+from sloepond.core.configuration.validation import findings_after, findings_in_batches
+from sloepond.core.messages import ConfigurationPart
+from sloepond.resources.compiled import CompiledConfiguration, make_snapshot, resolve_locations, resource_key
+from sloepond.resources.model import Backend, BackendState, PlaceSelector
+from sloepond.resources.validation import validate_snapshot
+
+PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=60)
+INDEXES = ("backends_by_name", "backends_by_address", "services_by_name", "services_by_address")
+ADDRESSES = [f"10.9.0.{number}:8000" for number in range(1, 4)]
+
+
+def only(context):
+    """Return the only store's process."""
+    (process,) = context.network.processes.values()
+    return process
+
+
+def act(context, action):
+    (address,) = context.network.processes
+    context.network.act(address, action)
+
+
+def changed_backends():
+    return st.builds(
+        backend,
+        st.integers(0, 6),
+        st.sampled_from((*SERVICES, "nobody")),
+        st.sampled_from((None, None, None, *ADDRESSES)),
+        st.sampled_from((*HALLS, "nowhere")),
+        st.integers(0, 2),
+        st.sampled_from(BackendState),
+    )
+
+
+def changed_services():
+    halls = st.sets(st.sampled_from(HALLS))
+    denied = halls.map(lambda names: tuple(PlaceSelector(hall=hall) for hall in sorted(names)))
+    return st.builds(service, st.sampled_from(SERVICES), denied)
+
+
+@st.composite
+def resource_sets(draw):
+    """A valid set after a few changes, each of which may bring a fault."""
+    declared = {resource_key(item): item for item in resources(draw(st.integers(2, 6)))}
+    for item in draw(st.lists(st.one_of(changed_backends(), changed_services()), max_size=3)):
+        declared[resource_key(item)] = item
+    for key in draw(st.sets(st.sampled_from(sorted(declared)), max_size=1)):
+        del declared[key]
+    return list(declared.values())
+
+
+def compilable(declared):
+    """Leave out back ends whose hall has no location, and all but one of each address."""
+    locations = resolve_locations(tuple(declared))
+    backends = {item.spec.address: item for item in declared if isinstance(item, Backend)}
+    placed = [item for item in backends.values() if item.spec.hall in locations]
+    return [*(item for item in declared if not isinstance(item, Backend)), *placed]
+
+
+def assert_equal(configuration, other):
+    assert configuration.digest == other.digest
+    assert configuration.snapshot.resources == other.snapshot.resources
+    for index in INDEXES:
+        assert getattr(configuration, index) == getattr(other, index), index
+
+
+@then("for any two sets of resources the updated configuration equals the compiled one")
+def step_updated(context):
+    @PROPERTY
+    @for_all(resource_sets().map(compilable), resource_sets().map(compilable))
+    def check(before, after):
+        base = CompiledConfiguration(make_snapshot(1, before))
+        expected = CompiledConfiguration(make_snapshot(2, after))
+        delta = difference(base.snapshot.resources, expected.snapshot.resources)
+        updated = base.updated(2, delta.changed, delta.removed)
+        assert_equal(updated, expected)
+        assert_equal(base, CompiledConfiguration(make_snapshot(1, before)))
+        if updated.change is not None:
+            assert updated.change.base_generation == 1
+            before_names, after_names = base.backends_by_name, updated.backends_by_name
+            names = {*before_names, *after_names}
+            differ = {name for name in names if before_names.get(name) != after_names.get(name)}
+            assert differ <= set(updated.change.backends)
+
+    check()
+
+
+@then("for any sets of resources the composed configuration delta leads from the first to the last")
+def step_composed(context):
+    @PROPERTY
+    @for_all(st.lists(resource_sets().map(compilable), min_size=2, max_size=5))
+    def check(sets):
+        snapshots = [make_snapshot(number, items).resources for number, items in enumerate(sets, 1)]
+        deltas = [difference(*pair) for pair in zip(snapshots, snapshots[1:], strict=False)]
+        sent = decode_delta(encode_delta(composed(deltas)))
+        base = CompiledConfiguration(make_snapshot(1, sets[0]))
+        last = CompiledConfiguration(make_snapshot(len(sets), sets[-1]))
+        assert_equal(base.updated(len(sets), sent.changed, sent.removed), last)
+
+    check()
+
+
+@then(
+    "for any valid set and any change the limited and batched configuration checks agree with the whole one"
+)
+def step_limited_check(context):
+    verdicts = Counter()
+
+    @settings(PROPERTY, max_examples=200)
+    @for_all(st.integers(2, 6), resource_sets(), st.integers(1, 6))
+    def check(count, after, batch):
+        base = CompiledConfiguration(make_snapshot(1, resources(count)))
+        changed = make_snapshot(2, after).resources
+        delta = difference(base.snapshot.resources, changed)
+        whole = validate_snapshot(changed)
+        assert bool(findings_after(base, delta, changed)) == bool(whole), whole
+        assert bool(findings_in_batches(changed, batch)) == bool(whole), whole
+        verdicts[bool(whole)] += 1
+
+    check()
+    assert min(verdicts[True], verdicts[False]) > 10, verdicts
+
+
+@then("for any bytes the configuration decoder returns a delta or nothing and never fails")
+def step_any_bytes(context):
+    valid = encode_delta(difference((), snapshot(1).resources))
+
+    @PROPERTY
+    @for_all(st.binary(), st.integers(0, len(valid)), st.booleans())
+    def check(data, cut, compressed):
+        assert decode_delta(zlib.compress(data) if compressed else data) is None
+        assert decode_delta(valid[:cut] + data + valid[cut + 1 + len(data) :]) in (None, decode_delta(valid))
+
+    check()
+    assert decode_delta(valid) is not None
+
+
+@then("the configuration decoder refuses bytes that decompress to more than its limit")
+def step_bomb(context):
+    assert decode_delta(zlib.compress(b"\0" * (MAXIMUM_DECODED_BYTES + 1))) is None
+
+
+@then("for any reads, losses, repeats and orders no configuration store reverts and all end equal")
+def step_never_reverts(context):
+    actions = st.one_of(
+        st.tuples(st.just("read"), st.integers(0, 2), st.integers(1, 6)),
+        st.tuples(st.just("deliver"), st.integers(0, 30), st.booleans()),
+        st.tuples(st.just("lose"), st.integers(0, 30), st.just(0)),
+        st.tuples(st.just("run"), st.integers(1, 30), st.just(0)),
+    )
+    reached = set()
+
+    @PROPERTY
+    @for_all(st.lists(actions, max_size=40))
+    def check(chosen):
+        network = Network()
+        network.add_cell(("b0", "b1", "b2"), 1)
+        for kind, number, argument in chosen:
+            perform(network, kind, number, argument)
+            assert_never_reverted(network)
+        network.run(12.0)
+        assert_never_reverted(network)
+        newest = {process.store.in_force.generation for process in network.processes.values()}
+        assert len(newest) == 1, newest
+        reached.update(newest)
+
+    check()
+    assert len(reached) > 3
+
+
+def perform(network, kind, number, argument):
+    """Perform one action; deliveries are in any order and may repeat."""
+    if kind == "read":
+        address = list(network.processes)[number]
+        network.act(address, lambda store: store.snapshot_read(snapshot(argument)))
+    elif kind == "run":
+        network.run(number * 0.1)
+    elif network.flight:
+        index = number % len(network.flight)
+        _, address, action = network.flight[index]
+        if kind == "lose" or not argument:
+            del network.flight[index]
+        if kind == "deliver":
+            network.act(address, action)
+
+
+def assert_never_reverted(network):
+    for process in network.processes.values():
+        generations = [generation for generation, _ in process.generations]
+        assert generations == sorted(set(generations)), generations
+        in_force = process.store.in_force
+        if in_force.generation > 0:
+            assert_equal(in_force, CompiledConfiguration(snapshot(in_force.generation)))
+
+
+@given("a configuration store that starts alone")
+def step_alone(context):
+    context.network = Network()
+    context.network.add_cell(("b0",), 1)
+    only(context).may_read = False
+
+
+@given("a configuration store with generation {generation:d} in force")
+def step_store(context, generation):
+    step_alone(context)
+    context.network.run(3.0)
+    act(context, lambda store: store.snapshot_read(snapshot(generation)))
+    only(context).transitions.clear()
+
+
+@given("{count:d} configuration stores with generation {generation:d} in force")
+def step_stores(context, count, generation):
+    context.network = Network()
+    context.members = context.network.add_cell([f"b{number}" for number in range(count)], 1)
+    context.network.settle(generation)
+
+
+@given("{count:d} configuration stores with {backends:d} back ends and generation {generation:d} in force")
+def step_large_stores(context, count, backends, generation):
+    context.network = Network(count=backends)
+    context.members = context.network.add_cell([f"b{number}" for number in range(count)], 1)
+    context.network.settle(generation)
+
+
+@given("{percent:d} percent of the configuration messages are lost")
+def step_loss(context, percent):
+    context.network.loss = percent / 100
+
+
+@given(
+    "{cells:d} cells of {count:d} configuration stores of which one can read the service "
+    "and {percent:d} percent of messages are lost"
+)
+def step_cells(context, cells, count, percent):
+    context.network = Network()
+    for cell in range(cells):
+        context.network.add_cell([f"c{cell}-b{number}" for number in range(count)], cell + 1)
+    for process in list(context.network.processes.values())[1:]:
+        process.may_read = False
+    context.network.loss = percent / 100
+    context.network.settle(1)
+    context.network.run(3.0)
+
+
+@when("the configuration store reads generation {generation:d}")
+def step_read(context, generation):
+    act(context, lambda store: store.snapshot_read(snapshot(generation)))
+
+
+@when("the configuration store reads generation {generation:d} with two faults {times:d} times")
+def step_read_faulty(context, generation, times):
+    faulty = [*content(generation), backend(90, "nobody"), backend(91, hall="nowhere")]
+    for _ in range(times):
+        act(context, lambda store: store.snapshot_read(make_snapshot(generation, faulty)))
+
+
+@when("the configuration store reads generation {generation:d} with other content {times:d} times")
+def step_read_other(context, generation, times):
+    context.other = make_snapshot(generation, resources(2))
+    for _ in range(times):
+        act(context, lambda store: store.snapshot_read(context.other))
+
+
+@when("the configuration store hears of generation {generation:d} with that other content")
+def step_hear_other(context, generation):
+    digest = context.other.digest[:8]
+    act(context, lambda store: store.generation_heard("10.1.0.9:1", generation, digest))
+
+
+@when("the configuration store reads generation {generation:d} under a wrong digest")
+def step_wrong_digest(context, generation):
+    wrong = msgspec.structs.replace(
+        snapshot(generation + 1), generation=generation, digest=snapshot(generation).digest
+    )
+    act(context, lambda store: store.snapshot_read(wrong))
+
+
+@when("the configuration service fails {failures:d} reads and answers {answers:d}")
+def step_service(context, failures, answers):
+    for _ in range(failures):
+        act(context, lambda store: store.read_failed("no answer"))
+    for _ in range(answers):
+        act(context, lambda store: store.read_unchanged())
+
+
+@when("malformed configuration parts come to the configuration store")
+def step_malformed(context):
+    good = ConfigurationPart(9, "00", 0, 0, 1, b"")
+    changes = ({"part": 1}, {"part": -1}, {"parts": 2**40}, {"base_generation": 9}, {})
+    for change in changes:
+        part = msgspec.structs.replace(good, **change)
+        act(context, received("10.1.0.9:1", part))
+
+
+@when("the configuration service goes back to generation {generation:d}")
+@when("the configuration service goes on to generation {generation:d}")
+def step_service_generation(context, generation):
+    context.network.generation = generation
+
+
+@when("a configuration store starts anew")
+def step_starts(context):
+    member = msgspec.structs.replace(context.members[0], name="new", address="10.1.0.99:1")
+    view = FixedView((*context.members, member))
+    for process in context.network.processes.values():
+        process.view.view = view.view
+    context.new = context.network.add(member, view)
+
+
+@when("a configuration store starts anew that cannot read the service")
+def step_starts_cut_off(context):
+    step_starts(context)
+    context.new.may_read = False
+
+
+@when("the configuration stores run for {seconds:f} seconds")
+@when("the configuration stores run for {seconds:d} seconds")
+def step_run(context, seconds):
+    context.network.run(seconds)
+
+
+@when("the first of the configuration stores can no longer read the service")
+def step_first_cut_off(context):
+    next(iter(context.network.processes.values())).may_read = False
+
+
+@when("the source that the new configuration store asks stops")
+def step_source_stops(context):
+    assert context.new.store.in_force.generation == 0, "the transfer was over before the source stopped"
+    del context.network.processes[context.new.asked[-1]]
+
+
+@when("the configuration service goes on to a new generation each 4 seconds, {times:d} times")
+def step_generations(context, times):
+    context.read_at = {}
+    for _ in range(times):
+        context.network.generation += 1
+        context.read_at[context.network.generation] = context.network.now
+        context.network.run(4.0)
+    context.elapsed = 4.0 * times
+
+
+@then("all configuration stores had each generation in force within {seconds:d} seconds")
+def step_in_time(context, seconds):
+    for process in context.network.processes.values():
+        taken = dict(process.generations)
+        for generation, changed_at in context.read_at.items():
+            assert taken[generation] - changed_at <= seconds, process.generations
+
+
+@then("no configuration store sent more than {limit:d} bytes a second")
+def step_bytes(context, limit):
+    rates = [process.bytes_sent / context.elapsed for process in context.network.processes.values()]
+    assert 0 < max(rates) <= limit, max(rates)
+
+
+@then("the configuration store has generation {generation:d} in force")
+def step_in_force(context, generation):
+    assert only(context).store.in_force.generation == generation
+    assert only(context).store.is_ready == (generation > 0)
+    if generation:
+        assert_equal(only(context).store.in_force, CompiledConfiguration(snapshot(generation)))
+
+
+def rejections(context):
+    return [item for item in only(context).transitions if item.kind is TransitionKind.CONFIGURATION_REJECTED]
+
+
+@then("the configuration store has generation {generation:d} in force and reported {count:d} rejection")
+def step_rejected(context, generation, count):
+    step_in_force(context, generation)
+    assert len(rejections(context)) == count, rejections(context)
+    assert only(context).context.counters.configuration_rejected == count
+
+
+@then(
+    "the configuration store has generation {generation:d} in force "
+    "and reported {count:d} rejection that names both faults"
+)
+def step_rejected_faults(context, generation, count):
+    step_rejected(context, generation, count)
+    assert "backend-90" in rejections(context)[0].detail, rejections(context)
+    assert "backend-91" in rejections(context)[0].detail, rejections(context)
+
+
+@then("the configuration store counted {count:d} older generation")
+def step_older(context, count):
+    assert only(context).context.counters.configuration_older_ignored == count
+
+
+@then("the configuration store counted {count:d} malformed inputs")
+def step_malformed_counted(context, count):
+    assert only(context).context.counters.input_malformed == count
+
+
+@then("the configuration store reported the service down once and up once")
+def step_service_reported(context):
+    kinds = [item.kind for item in only(context).transitions]
+    assert kinds == [TransitionKind.CONFIGURATION_SERVICE_DOWN, TransitionKind.CONFIGURATION_SERVICE_UP], (
+        kinds
+    )
+
+
+@then("all configuration stores have generation {generation:d} in force")
+def step_all_in_force(context, generation):
+    for process in context.network.processes.values():
+        assert process.store.in_force.generation == generation, process.generations
+        expected = CompiledConfiguration(snapshot(generation, context.network.count))
+        assert_equal(process.store.in_force, expected)
+
+
+@then("all configuration stores have generation {generation:d} in force and none had another one before")
+def step_all_only(context, generation):
+    step_all_in_force(context, generation)
+    assert {seen for seen, _ in context.new.generations} == {0, generation}, context.new.generations
+
+
+@then("the configuration service was read at most {count:d} times")
+def step_reads(context, count):
+    assert 0 < context.network.reads <= count, context.network.reads
--- /dev/null
+++ b/sloepond/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m sloepond` is the command `sloepond`."""
+
+from sloepond.cli.main import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sloepond/api/authorization.py
@@ -0,0 +1,68 @@
+"""Bearer tokens: who may read and who may change state."""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+import hmac
+from collections.abc import Iterable
+
+from sloepond.api.errors import ApiError, ErrorCode
+
+SCHEME = "bearer"
+
+
+class Access(enum.IntEnum):
+    """What a request needs, and what a token allows; each includes the ones below."""
+
+    NONE = 0
+    READ = 1
+    WRITE = 2
+
+
+class TokenAuthorizer:
+    """Decides by bearer token.
+
+    Without read tokens everyone may read; without write tokens nobody may write.
+    Tokens are compared as digests in constant time, and every token is compared,
+    so that the time taken tells nothing of them.
+    """
+
+    def __init__(self, read_tokens: Iterable[str], write_tokens: Iterable[str]) -> None:
+        self._read_digests = tuple(map(_digest, read_tokens))
+        self._write_digests = tuple(map(_digest, write_tokens))
+        self._anonymous_access = Access.NONE if self._read_digests else Access.READ
+
+    def authorize(self, header: str | None, needed: Access) -> None:
+        """Let a request pass or refuse it.
+
+        :param header: value of the `Authorization` header, None where it has none.
+        :raises ApiError: `unauthenticated` without a valid token where one is
+            needed, `forbidden` with a valid token that allows too little.
+        """
+        granted = self._anonymous_access if header is None else self._granted(header)
+        if granted >= needed:
+            return
+        if granted is Access.NONE or header is None:
+            raise ApiError(ErrorCode.UNAUTHENTICATED, "a valid bearer token is needed")
+        raise ApiError(ErrorCode.FORBIDDEN, f"the token does not allow to {needed.name.lower()}")
+
+    def _granted(self, header: str) -> Access:
+        scheme, _, token = header.partition(" ")
+        if scheme.lower() != SCHEME:
+            return Access.NONE
+        digest = _digest(token.strip())
+        may_write = _is_among(digest, self._write_digests)
+        may_read = _is_among(digest, self._read_digests)
+        if may_write:
+            return Access.WRITE
+        return Access.READ if may_read else Access.NONE
+
+
+def _digest(token: str) -> bytes:
+    return hashlib.sha256(token.encode()).digest()
+
+
+def _is_among(digest: bytes, known: tuple[bytes, ...]) -> bool:
+    matches = [hmac.compare_digest(digest, other) for other in known]
+    return any(matches)
--- /dev/null
+++ b/sloepond/api/checking.py
@@ -0,0 +1,68 @@
+"""Dry run: the findings about a set of resources, without putting it in force."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+
+from sloepond.api.errors import ApiError, ErrorCode
+from sloepond.resources.documents import JSON_SUFFIX, parse_text
+from sloepond.resources.findings import Finding
+from sloepond.resources.validation import validate_documents
+
+SOURCE = "request"
+YAML_MEDIA_TYPES = ("application/yaml", "application/x-yaml", "text/yaml")
+MAXIMUM_WAITING = 4
+"""Checks that may run or wait at the same time."""
+
+
+class CheckAnswer(msgspec.Struct, frozen=True):
+    """Body of the answer to `POST /v1/check`.
+
+    :ivar resources: number of resources that are right by themselves.
+    """
+
+    valid: bool
+    resources: int
+    findings: tuple[Finding, ...]
+
+
+class ResourceChecker:
+    """Checks resources one set at a time, in a thread, beside the data path."""
+
+    def __init__(self) -> None:
+        self._limiter = trio.CapacityLimiter(1)
+        self._waiting = 0
+
+    async def check(self, body: bytes, media_type: str) -> CheckAnswer:
+        """Check the resources of a request body.
+
+        :param body: one resource, a list of them, an object with a list
+            `resources`, or YAML documents.
+        :raises ApiError: where too many checks are waiting.
+        """
+        if self._waiting >= MAXIMUM_WAITING:
+            raise ApiError(
+                ErrorCode.TOO_MANY_CHECKS, f"{MAXIMUM_WAITING} checks are running; try again later"
+            )
+        self._waiting += 1
+        try:
+            return await trio.to_thread.run_sync(check_body, body, media_type, limiter=self._limiter)
+        finally:
+            self._waiting -= 1
+
+
+def check_body(body: bytes, media_type: str) -> CheckAnswer:
+    """Return the findings about the resources of a request body."""
+    source = SOURCE if media_type in YAML_MEDIA_TYPES else SOURCE + JSON_SUFFIX
+    try:
+        text = body.decode()
+    except UnicodeDecodeError:
+        return CheckAnswer(False, 0, (Finding(source, 0, 0, "", "not UTF-8 text"),))
+    parsed = parse_text(text, source)
+    findings = parsed.findings
+    if not parsed.documents and not findings:
+        findings = (Finding(source, 0, 0, "", "no resource is declared"),)
+    validated = validate_documents(parsed.documents)
+    ordered = tuple(sorted({*findings, *validated.findings}))
+    return CheckAnswer(not ordered, len(validated.resources), ordered)
--- /dev/null
+++ b/sloepond/api/server.py
@@ -0,0 +1,116 @@
+"""Serving the operators' API: beside the daemon, over HTTP or TLS."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import hypercorn
+import hypercorn.trio
+import logbook
+import trio
+
+from sloepond.api.application import create_app
+from sloepond.api.feed import ConfigurationFeed
+from sloepond.api.state import ApiNode, ApiState
+from sloepond.core.node import Node
+from sloepond.runtime.clock import monotonic_seconds
+from sloepond.runtime.daemon import BalancerDaemon
+from sloepond.runtime.settings import ApiSettings
+from sloepond.runtime.traffic import TrafficClass, TrafficRate, TrafficTotal
+
+KEEP_ALIVE_S = 5
+TLS_HANDSHAKE_S = 5
+GRACEFUL_S = 1.0
+MAXIMUM_STREAMS = 32
+"""Requests at the same time on one HTTP/2 connection."""
+
+
+class DaemonState:
+    """A daemon as the API sees it."""
+
+    def __init__(self, daemon: BalancerDaemon, node: ApiNode) -> None:
+        self._daemon = daemon
+        self._node = node
+
+    @property
+    def node(self) -> ApiNode:
+        """The core."""
+        return self._node
+
+    @property
+    def traffic_totals(self) -> Mapping[TrafficClass, TrafficTotal]:
+        """Traffic with peers since the start, by class."""
+        return self._daemon.traffic.totals
+
+    def traffic_rates(self) -> tuple[TrafficRate, ...]:
+        """Return bytes a second exchanged with peers, by class."""
+        return self._daemon.traffic.rates(monotonic_seconds())
+
+    def request_stop(self) -> None:
+        """Start a planned stop."""
+        self._daemon.request_stop()
+
+
+async def serve_daemon(daemon: BalancerDaemon) -> None:
+    """Serve the API of a daemon until cancelled; runs beside the daemon's tasks.
+
+    :raises TypeError: where the daemon runs another node than the core's.
+    :raises OSError: where the address cannot be bound.
+    """
+    node = daemon.node
+    if not isinstance(node, Node):
+        raise TypeError(f"the API cannot show a node of type {type(node).__name__}")
+    settings = daemon.settings
+    await serve_api(DaemonState(daemon, node), settings.api, settings.api_address, daemon.logger)
+
+
+async def serve_api(
+    state: ApiState,
+    settings: ApiSettings,
+    address: str,
+    logger: logbook.Logger,
+    *,
+    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve the API until cancelled; to be started in a nursery.
+
+    :param address: `ip:port` to listen on; port 0 takes a free one.
+    :param task_status: told the URLs served once they are bound.
+    """
+    feed = ConfigurationFeed(lambda: state.node.configuration.in_force)
+    application = create_app(state, settings, feed, logger)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(feed.follow)
+        urls = await nursery.start(_serve, application, server_configuration(settings, address))
+        task_status.started(urls)
+
+
+async def _serve(
+    application: object,
+    configuration: hypercorn.Config,
+    *,
+    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    await hypercorn.trio.serve(
+        application,  # type: ignore[arg-type]
+        configuration,
+        shutdown_trigger=trio.sleep_forever,
+        task_status=task_status,
+        mode="asgi",
+    )
+
+
+def server_configuration(settings: ApiSettings, address: str) -> hypercorn.Config:
+    """Return the HTTP server's own configuration."""
+    configuration = hypercorn.Config()
+    configuration.bind = address
+    configuration.certfile = settings.tls_certificate or None
+    configuration.keyfile = settings.tls_key or None
+    configuration.accesslog = None
+    configuration.errorlog = None
+    configuration.include_server_header = False
+    configuration.keep_alive_timeout = KEEP_ALIVE_S
+    configuration.ssl_handshake_timeout = TLS_HANDSHAKE_S
+    configuration.graceful_timeout = GRACEFUL_S
+    configuration.h2_max_concurrent_streams = MAXIMUM_STREAMS
+    return configuration
--- /dev/null
+++ b/sloepond/api/status.py
@@ -0,0 +1,24 @@
+"""The status of one balancer, as the API shows it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from sloepond.api.state import ApiState
+from sloepond.core.status import NodeStatus
+from sloepond.runtime.traffic import TrafficRate
+
+
+class BalancerStatus(NodeStatus, frozen=True):
+    """Body of `GET /v1/status`.
+
+    :ivar traffic: bytes a second exchanged with peers, by class.
+    """
+
+    traffic: tuple[TrafficRate, ...]
+
+
+def build_status(state: ApiState) -> BalancerStatus:
+    """Return the present status."""
+    known = msgspec.structs.asdict(state.node.status())
+    return BalancerStatus(**known, traffic=state.traffic_rates())
--- a/sloepond/cli/__init__.py
+++ b/sloepond/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The `sloepond` command line."""
--- /dev/null
+++ b/sloepond/cli/configuration_update.py
@@ -0,0 +1,98 @@
+"""Changing the platform's configuration: whole from files, or one back end."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+
+from sloepond.cli.balancer_access import BalancerAccess
+from sloepond.cli.changes import ResourceChanges, compare_resources
+from sloepond.cli.exit_codes import BAD_INPUT, REFUSED
+from sloepond.cli.failures import CommandFailure
+from sloepond.cli.platform_access import PlatformAccess
+from sloepond.cli.rollout import InForce, wait_in_force
+from sloepond.resources.loading import load_resources
+from sloepond.resources.model import Backend, BackendState, Resource
+from sloepond.resources.validation import validate_snapshot
+
+
+class ConfigurationUpdate(msgspec.Struct, frozen=True):
+    """What a command has written.
+
+    :ivar generation: generation to be in force; the present one where nothing changed.
+    :ivar written_at: when the platform had it, on the monotonic clock, in seconds.
+    """
+
+    generation: int
+    changes: ResourceChanges
+    written_at: float
+
+    def __str__(self) -> str:
+        if self.changes.is_empty:
+            return f"generation {self.generation} unchanged"
+        return f"generation {self.generation} written: {self.changes}"
+
+
+def load_declared(files: Sequence[Path]) -> tuple[Resource, ...] | CommandFailure:
+    """Return the resources of `files`, or all findings."""
+    if not files:
+        return CommandFailure(BAD_INPUT, "no file: name files or directories of resources")
+    loaded = load_resources(files)
+    if loaded.findings:
+        return CommandFailure(REFUSED, _count(len(loaded.findings)), loaded.findings)
+    return loaded.resources
+
+
+def replace_configuration(
+    platform: PlatformAccess, wanted: Sequence[Resource]
+) -> ConfigurationUpdate | CommandFailure:
+    """Make `wanted` the platform's whole configuration, unless it is already."""
+    present = platform.read()
+    if isinstance(present, CommandFailure):
+        return present
+    changes = compare_resources(present.resources, wanted)
+    if changes.is_empty:
+        return ConfigurationUpdate(present.generation, changes, time.monotonic())
+    written = platform.write(wanted, present.generation)
+    if isinstance(written, CommandFailure):
+        return written
+    return ConfigurationUpdate(written.generation, changes, time.monotonic())
+
+
+def drain_backend(platform: PlatformAccess, name: str) -> ConfigurationUpdate | CommandFailure:
+    """Set the state of the back end `name` to draining, leaving all else as it is."""
+    present = platform.read()
+    if isinstance(present, CommandFailure):
+        return present
+    wanted = [_draining(resource, name) for resource in present.resources]
+    if not any(_is_backend(resource, name) for resource in wanted):
+        return CommandFailure(REFUSED, f"no back end {name!r} in generation {present.generation}")
+    findings = validate_snapshot(wanted)
+    if findings:
+        return CommandFailure(REFUSED, f"{name} cannot be drained: {_count(len(findings))}", findings)
+    return replace_configuration(platform, wanted)
+
+
+def wait_for_update(
+    balancers: BalancerAccess, update: ConfigurationUpdate, timeout_s: float
+) -> InForce | CommandFailure:
+    """Wait until the update is in force on every live balancer."""
+    return wait_in_force(balancers, update.generation, update.written_at, timeout_s)
+
+
+def _is_backend(resource: Resource, name: str) -> bool:
+    return isinstance(resource, Backend) and resource.metadata.name == name
+
+
+def _draining(resource: Resource, name: str) -> Resource:
+    if not isinstance(resource, Backend) or resource.metadata.name != name:
+        return resource
+    spec = msgspec.structs.replace(resource.spec, state=BackendState.DRAINING)
+    return msgspec.structs.replace(resource, spec=spec)
+
+
+def _count(findings: int) -> str:
+    return f"{findings} finding" if findings == 1 else f"{findings} findings"
--- /dev/null
+++ b/sloepond/cli/failures.py
@@ -0,0 +1,36 @@
+"""Why a command failed, as a value: its exit code and one line of text."""
+
+from __future__ import annotations
+
+import sys
+
+import msgspec
+
+from sloepond.resources.findings import Finding
+
+
+class CommandFailure(msgspec.Struct, frozen=True):
+    """A command failed.
+
+    :ivar exit_code: one of `sloepond.cli.exit_codes`.
+    :ivar reason: one line of text.
+    :ivar findings: all findings, where resources were refused.
+    """
+
+    exit_code: int
+    reason: str
+    findings: tuple[Finding, ...] = ()
+
+
+def report_failure(failure: CommandFailure, *, list_findings: bool = True) -> int:
+    """Print a failure to standard error, one line each finding; return its exit code."""
+    for finding in failure.findings if list_findings else ():
+        print(one_line(str(finding)), file=sys.stderr)
+    print(f"sloepond: {one_line(failure.reason)}", file=sys.stderr)
+    return failure.exit_code
+
+
+def one_line(text: str) -> str:
+    """Return `text` on one line, with what a terminal cannot take escaped."""
+    printable = text.encode(errors="backslashreplace").decode()
+    return " ".join(printable.split())
--- /dev/null
+++ b/sloepond/cli/fleet.py
@@ -0,0 +1,110 @@
+"""The fleet as its balancers report it: one line for each balancer."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from sloepond.api.status import BalancerStatus
+from sloepond.core.status import PeerReport
+from sloepond.runtime.traffic import TrafficClass
+
+
+class BalancerReport(msgspec.Struct, frozen=True):
+    """What is known of one balancer.
+
+    :ivar has_lease: None where it was not asked itself.
+    :ivar control_bytes_per_second: sent to peers and received from them; None
+        where it was not asked itself.
+    :ivar heard_from: `itself`, or the name of the balancer that told of it.
+    :ivar suspected: whether every balancer that told of it suspects it.
+    """
+
+    name: str
+    state: str
+    has_lease: bool | None
+    epoch: int
+    generation: int
+    flows: int
+    heard_from: str
+    suspected: bool = False
+    control_bytes_per_second: float | None = None
+
+
+ITSELF = "itself"
+UNKNOWN_STATE = "unknown"
+STATES_WITHOUT_DUTY = frozenset({"leaving"})
+"""States in which a balancer need not take a new generation."""
+
+
+def combine(statuses: Sequence[BalancerStatus]) -> tuple[BalancerReport, ...]:
+    """Return one report for each balancer that answered or is in the view of one that did.
+
+    What a balancer says of itself wins.  Of what others say, the highest epoch
+    and generation win: neither ever goes back.  Reports are sorted by name.
+    """
+    reports: dict[str, BalancerReport] = {}
+    for status in statuses:
+        for member in status.members:
+            reports.setdefault(member, _unknown(member, status.name))
+        for peer in status.peers:
+            if peer.name not in status.members:
+                continue
+            reports[peer.name] = _newer(reports.get(peer.name), _hearsay(peer, status.name))
+    for status in statuses:
+        reports[status.name] = _own(status)
+    return tuple(reports[name] for name in sorted(reports))
+
+
+def lagging(reports: Sequence[BalancerReport], generation: int) -> tuple[BalancerReport, ...]:
+    """Return the balancers on which `generation` or a later one is not in force yet."""
+    return tuple(
+        report
+        for report in reports
+        if report.state.lower() not in STATES_WITHOUT_DUTY and report.generation < generation
+    )
+
+
+def _own(status: BalancerStatus) -> BalancerReport:
+    return BalancerReport(
+        name=status.name,
+        state=status.state,
+        has_lease=status.has_lease,
+        epoch=status.epoch,
+        generation=status.generation,
+        flows=status.flows,
+        heard_from=ITSELF,
+        control_bytes_per_second=_control_rate(status),
+    )
+
+
+def _control_rate(status: BalancerStatus) -> float | None:
+    for rate in status.traffic:
+        if rate.traffic_class is TrafficClass.CONTROL:
+            return rate.sent_bytes_per_second + rate.received_bytes_per_second
+    return None
+
+
+def _hearsay(peer: PeerReport, heard_from: str) -> BalancerReport:
+    return BalancerReport(
+        name=peer.name,
+        state=peer.state,
+        has_lease=None,
+        epoch=peer.epoch,
+        generation=peer.generation,
+        flows=peer.flows,
+        heard_from=heard_from,
+        suspected=peer.suspected,
+    )
+
+
+def _unknown(name: str, heard_from: str) -> BalancerReport:
+    return BalancerReport(name, UNKNOWN_STATE, None, 0, 0, 0, heard_from)
+
+
+def _newer(known: BalancerReport | None, heard: BalancerReport) -> BalancerReport:
+    if known is None or known.state == UNKNOWN_STATE:
+        return heard
+    newest = max(known, heard, key=lambda report: (report.epoch, report.generation))
+    return msgspec.structs.replace(newest, suspected=known.suspected and heard.suspected)
--- a/sloepond/core/__init__.py
+++ b/sloepond/core/__init__.py
@@ -0,0 +1,1 @@
+"""The sans-I/O core: events in, commands out."""
--- a/sloepond/core/configuration/__init__.py
+++ b/sloepond/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force and how it spreads between balancers."""
--- /dev/null
+++ b/sloepond/core/configuration/sender.py
@@ -0,0 +1,98 @@
+"""Sends deltas and snapshots to balancers that ask for them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import msgspec
+
+from sloepond.core.configuration.delta import ConfigurationDelta, DeltaHistory
+from sloepond.core.configuration.encoding import encode_delta, part_count, part_of
+from sloepond.core.configuration.token_bucket import TokenBucket
+from sloepond.core.context import NodeContext
+from sloepond.core.messages import ConfigurationPart, ConfigurationRequested
+from sloepond.core.settings import ConfigurationSettings
+from sloepond.resources.compiled import CompiledConfiguration
+
+WINDOW_PARTS = 32
+"""Parts sent for one request; the receiver asks again for the next ones."""
+CACHED_TRANSFERS = 4
+"""Encoded transfers kept, so that one under way can end though a newer
+generation is in force."""
+
+
+class Transfer(msgspec.Struct, frozen=True):
+    """An encoded delta or snapshot.
+
+    :ivar base_generation: generation the delta applies to; 0 for a snapshot.
+    """
+
+    generation: int
+    digest: str
+    base_generation: int
+    data: bytes
+
+
+class ConfigurationSender:
+    """Answers requests from the generation in force, at a bounded rate."""
+
+    def __init__(self, context: NodeContext, settings: ConfigurationSettings) -> None:
+        self._context = context
+        self._part_bytes = settings.part_bytes
+        self._history = DeltaHistory(settings.delta_history)
+        self._transfers: OrderedDict[tuple[int, int], Transfer] = OrderedDict()
+        self._bucket = TokenBucket(
+            settings.bytes_per_second, max(settings.bytes_per_second, WINDOW_PARTS * settings.part_bytes)
+        )
+
+    def generation_taken(self, former: int, present: int, delta: ConfigurationDelta) -> None:
+        """Remember the delta that led to the generation now in force."""
+        self._history.add(former, present, delta)
+
+    def request_received(
+        self, address: str, request: ConfigurationRequested, in_force: CompiledConfiguration
+    ) -> None:
+        """Send the parts asked for, as far as the rate limit allows."""
+        if in_force.generation <= request.have_generation or request.part < 0:
+            return
+        if in_force.generation < request.want_generation:
+            return
+        transfer = self._transfer_for(request, in_force)
+        count = part_count(transfer.data, self._part_bytes)
+        for part in range(request.part, min(request.part + WINDOW_PARTS, count)):
+            data = part_of(transfer.data, self._part_bytes, part)
+            if not self._bucket.take(self._context.now, len(data)):
+                return
+            self._send(address, transfer, part, count, data)
+
+    def _transfer_for(self, request: ConfigurationRequested, in_force: CompiledConfiguration) -> Transfer:
+        for base in (request.have_generation, 0):
+            started = self._transfers.get((base, request.want_generation))
+            if started is not None and request.part > 0:
+                return started
+        delta = self._history.since(request.have_generation) if request.have_generation else None
+        base = 0 if delta is None else request.have_generation
+        cached = self._transfers.get((base, in_force.generation))
+        if cached is not None:
+            return cached
+        if delta is None:
+            delta = ConfigurationDelta(in_force.snapshot.resources, ())
+        return self._remember(Transfer(in_force.generation, in_force.digest, base, encode_delta(delta)))
+
+    def _remember(self, transfer: Transfer) -> Transfer:
+        self._transfers[(transfer.base_generation, transfer.generation)] = transfer
+        if len(self._transfers) > CACHED_TRANSFERS:
+            self._transfers.popitem(last=False)
+        return transfer
+
+    def _send(self, address: str, transfer: Transfer, part: int, count: int, data: bytes) -> None:
+        self._context.counters.configuration_parts_sent += 1
+        message = ConfigurationPart(
+            generation=transfer.generation,
+            digest=transfer.digest,
+            base_generation=transfer.base_generation,
+            part=part,
+            parts=count,
+            data=data,
+        )
+        self._context.send_to_peer(address, message)
--- a/sloepond/core/counters.py
+++ b/sloepond/core/counters.py
@@ -37,6 +37,7 @@
     lookups_missed: int = 0
     transfers_sent: int = 0
     transfer_entries: int = 0
+    partitions_incomplete: int = 0
     requests_handed_over: int = 0
     requests_answered: int = 0
     requests_refused: int = 0
--- a/sloepond/core/events.py
+++ b/sloepond/core/events.py
@@ -49,6 +49,10 @@
     snapshot: ConfigurationSnapshot
 
 
+class ConfigurationReadUnchanged(msgspec.Struct, frozen=True):
+    """The platform's configuration service answered that the known generation is its newest."""
+
+
 class ConfigurationReadFailed(msgspec.Struct, frozen=True):
     """The platform's configuration service is down or its answer is invalid."""
 
@@ -83,6 +87,7 @@
     | PeerMessageReceived
     | TimerFired
     | ConfigurationRead
+    | ConfigurationReadUnchanged
     | ConfigurationReadFailed
     | MachineListRead
     | BackendProbed
--- a/sloepond/core/health/__init__.py
+++ b/sloepond/core/health/__init__.py
@@ -0,0 +1,1 @@
+"""Health and load of back ends."""
--- a/sloepond/core/membership/__init__.py
+++ b/sloepond/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members, views and leases of a cell."""
--- a/sloepond/core/messages.py
+++ b/sloepond/core/messages.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from sloepond.core.packets import BackendReply, CallerPacket, FlowKey
+from sloepond.core.packets import CallerPacket, FlowKey
 from sloepond.resources.model import Location
 
 
@@ -42,7 +42,9 @@
 class View(msgspec.Struct, frozen=True, array_like=True):
     """The members of a cell, agreed by a quorum of the previous view.
 
-    :ivar epoch: 0 before the cell has formed, then 1, 2, ...
+    :ivar epoch: 0 before the cell has formed.  The first view takes the largest
+        incarnation of its members in seconds (at least 1), so that a cell formed
+        anew has larger epochs than any before; each later view adds 1.
     :ivar members: sorted by name.
     """
 
@@ -83,6 +85,8 @@
     :ivar established: whether the back end has accepted the flow.
     :ivar highest_request: largest request id seen.
     :ivar seen_requests: bit i is set if request `highest_request - i` was seen.
+    :ivar fresh_above: request ids above this are known not to have been used
+        before the ledger was lost; 0 where the ledger was never lost.
     """
 
     flow: FlowKey
@@ -93,13 +97,15 @@
     established: bool = False
     highest_request: int = 0
     seen_requests: int = 0
+    fresh_above: int = 0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Sent to every member of the cell; carries the lease and small digests.
 
     :ivar stamp_ms: sender's clock when sent.
-    :ivar echo_ms: latest `stamp_ms` the sender has from the receiver, or -1.
+    :ivar echo_ms: latest `stamp_ms` the sender has from the receiver; -1 for none
+        yet, -2 while the sender has accepted a later view and supports no lease.
     :ivar epoch: epoch of the view the sender is in.
     :ivar generation: configuration generation in force at the sender.
     :ivar digest: first 8 hexadecimal digits of that generation's digest.
@@ -117,16 +123,27 @@
 
 
 class JoinRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """Asks the receiver's cell to admit a member."""
+    """Asks the receiver's cell to admit a member.
+
+    :ivar cell: name of the cell the member belongs to; other cells ignore it.
+    :ivar epoch: epoch of the latest view the sender knows, 0 for none.
+    """
 
     member: Member
+    cell: str = ""
+    epoch: int = 0
 
 
 class ViewPrepare(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """First phase of agreeing on the view after `epoch`."""
+    """First phase of agreeing on the view after `epoch`.
+
+    :ivar evicted: members the proposer has not heard and means to drop; a member
+        that hears one of them makes no promise.
+    """
 
     epoch: int
     ballot: Ballot
+    evicted: tuple[str, ...] = ()
 
 
 class ViewPromise(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -154,17 +171,27 @@
 
 
 class ViewRejected(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """A prepare or accept that lost to a higher ballot."""
+    """A prepare or accept that lost to a higher ballot, or met an objection.
+
+    :ivar reachable: members the prepare would evict and the sender hears.
+    """
 
     epoch: int
     ballot: Ballot
     promised: Ballot
+    reachable: tuple[str, ...] = ()
 
 
 class ViewAnnounced(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    """A view that has been decided."""
+    """A view that has been decided.
+
+    :ivar cell: name of the cell; members of other cells ignore it.
+    :ivar previous: the view before it, which a joining member has not seen.
+    """
 
     view: View
+    cell: str = ""
+    previous: View | None = None
 
 
 class ConfigurationRequested(msgspec.Struct, frozen=True, array_like=True, tag=10):
@@ -212,30 +239,31 @@
     packet: CallerPacket
 
 
-class BackendReplyForwarded(msgspec.Struct, frozen=True, array_like=True, tag=21, gc=False):
-    """A back end's packet passed to a replica of its flow."""
-
-    epoch: int
-    backend: str
-    reply: BackendReply
-
-
 class FlowRecordRequested(msgspec.Struct, frozen=True, array_like=True, tag=22, gc=False):
     """Asks a replica to record an entry before the primary acts on it.
 
     Rides with data packets, not with control traffic.
+
+    :ivar claim: request id the primary wants to hand over or refuse for good;
+        0 for none.  A replica grants a claim once.
     """
 
     epoch: int
     token: int
     entry: FlowEntry
+    claim: int = 0
 
 
 class FlowRecorded(msgspec.Struct, frozen=True, array_like=True, tag=23, gc=False):
-    """Confirms a record; `epoch` is the epoch the replica is in."""
+    """Answer to a record.
+
+    :ivar epoch: epoch the replica is in; it grants nothing in another epoch.
+    :ivar granted: whether the entry was recorded and the claim, if any, granted.
+    """
 
     epoch: int
     token: int
+    granted: bool
 
 
 class FlowLookupRequested(msgspec.Struct, frozen=True, array_like=True, tag=24, gc=False):
@@ -268,6 +296,45 @@
     token: int
 
 
+class PartitionComparison(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A primary's digest of one partition.
+
+    :ivar is_complete: whether the primary holds all records of former epochs.
+    :ivar is_streamed: whether the receiver was sent all entries since then.
+    """
+
+    partition: int
+    digest: int
+    is_complete: bool
+    is_streamed: bool
+
+
+class PartitionsCompared(msgspec.Struct, frozen=True, array_like=True, tag=29):
+    """Asks a balancer to compare its content of partitions with the primary's."""
+
+    epoch: int
+    comparisons: tuple[PartitionComparison, ...]
+
+
+class PartitionReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Answer for one partition.
+
+    :ivar has_vote: whether the primary holds all that the sender holds.
+    :ivar complete_epoch: epoch at which the sender's content was complete.
+    """
+
+    partition: int
+    has_vote: bool
+    complete_epoch: int
+
+
+class PartitionsReported(msgspec.Struct, frozen=True, array_like=True, tag=30):
+    """Answer to a comparison."""
+
+    epoch: int
+    reports: tuple[PartitionReport, ...]
+
+
 class FlowClosed(msgspec.Struct, frozen=True, array_like=True, tag=28, gc=False):
     """Tells a replica that a flow has ended and its entry may be dropped."""
 
@@ -287,7 +354,6 @@
     | ConfigurationPart
     | ConfigurationOffered
     | CallerPacketForwarded
-    | BackendReplyForwarded
     | FlowRecordRequested
     | FlowRecorded
     | FlowLookupRequested
@@ -295,11 +361,12 @@
     | FlowsTransferred
     | FlowsTransferConfirmed
     | FlowClosed
+    | PartitionsCompared
+    | PartitionsReported
 )
 
 DATA_MESSAGES = (
     CallerPacketForwarded,
-    BackendReplyForwarded,
     FlowRecordRequested,
     FlowRecorded,
     FlowLookupRequested,
@@ -308,5 +375,5 @@
 )
 """Messages sent because of a data packet; counted as data overhead."""
 
-TRANSFER_MESSAGES = (FlowsTransferred, FlowsTransferConfirmed)
+TRANSFER_MESSAGES = (FlowsTransferred, FlowsTransferConfirmed, PartitionsCompared, PartitionsReported)
 """Messages that restore replicas after a change of view; counted apart."""
--- a/sloepond/core/requests/__init__.py
+++ b/sloepond/core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of a flow: at-most-once ledger, retries and answers."""
--- a/sloepond/core/routing/__init__.py
+++ b/sloepond/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Flows: partitions, replicas, records and placement."""
--- /dev/null
+++ b/sloepond/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: a small fleet of real processes on loopback, with planned changes."""
--- /dev/null
+++ b/sloepond/demo/balancer_settings.py
@@ -0,0 +1,100 @@
+"""Settings files of the demo's balancers."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+
+from sloepond.core.settings import MembershipSettings, NodeSettings
+from sloepond.demo.addresses import (
+    API_PORT,
+    BACKEND_FACING_PORT,
+    EDGE_PORT,
+    FIRST_BALANCER_HOST,
+    PEER_PORT,
+    LoopbackNetwork,
+)
+from sloepond.resources.model import Location
+from sloepond.runtime.settings import ApiSettings, BalancerSettings, KeySettings, PlatformSettings
+
+_KEY_BYTES = 32
+_TOKEN_BYTES = 24
+
+
+class PlannedBalancer(msgspec.Struct, frozen=True):
+    """A balancer to be started.
+
+    :ivar api_url: URL of its operators' API.
+    """
+
+    settings: BalancerSettings
+    file: Path
+    api_url: str
+
+    @property
+    def name(self) -> str:
+        """Name of the balancer."""
+        return self.settings.name
+
+
+def plan_balancers(
+    locations: Sequence[Location], network: LoopbackNetwork, platform_url: str, directory: Path
+) -> list[PlannedBalancer]:
+    """Write a settings file for a balancer in each location; all share one key and token."""
+    key = KeySettings(id=1, secret=secrets.token_hex(_KEY_BYTES))
+    token = secrets.token_hex(_TOKEN_BYTES)
+    hosts = [FIRST_BALANCER_HOST + index for index in range(len(locations))]
+    membership = MembershipSettings(
+        bootstrap=tuple(_name(host) for host in hosts),
+        seeds=tuple(network.address(host, PEER_PORT) for host in hosts),
+    )
+    planned = []
+    for host, location in zip(hosts, locations, strict=True):
+        settings = BalancerSettings(
+            name=_name(host),
+            location=location,
+            edge_address=network.address(host, EDGE_PORT),
+            backend_address=network.address(host, BACKEND_FACING_PORT),
+            peer_address=network.address(host, PEER_PORT),
+            api_address=network.address(host, API_PORT),
+            keys=(key,),
+            platform=PlatformSettings(url=platform_url),
+            api=ApiSettings(write_tokens=(token,)),
+            node=NodeSettings(membership=membership),
+        )
+        planned.append(_write(settings, directory))
+    return planned
+
+
+def _name(host: int) -> str:
+    return f"balancer-{host - FIRST_BALANCER_HOST + 1}"
+
+
+def _write(settings: BalancerSettings, directory: Path) -> PlannedBalancer:
+    file = directory / f"{settings.name}.toml"
+    file.write_text(_toml_table((), msgspec.to_builtins(settings)), encoding="utf-8")
+    return PlannedBalancer(settings, file, f"http://{settings.api_address}")
+
+
+def _toml_table(path: tuple[str, ...], values: dict[str, object]) -> str:
+    """Return the values of a table, then its tables; JSON scalars and lists are TOML too."""
+    lines = [f"[{'.'.join(path)}]"] if path else []
+    tables = []
+    for name, value in values.items():
+        if isinstance(value, dict):
+            tables.append(_toml_table((*path, name), value))
+        else:
+            lines.append(f"{name} = {_toml_value(value)}")
+    return "\n".join([*lines, "", *tables])
+
+
+def _toml_value(value: object) -> str:
+    if isinstance(value, dict):
+        inner = ", ".join(f"{name} = {_toml_value(item)}" for name, item in value.items())
+        return f"{{ {inner} }}"
+    if isinstance(value, list | tuple):
+        return f"[{', '.join(map(_toml_value, value))}]"
+    return msgspec.json.encode(value).decode()
--- /dev/null
+++ b/sloepond/demo/declaration.py
@@ -0,0 +1,63 @@
+"""The resources of a demo: an example with the addresses of its own network."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+
+from sloepond.demo.addresses import BACKEND_PORT, FIRST_BACKEND_HOST, LoopbackNetwork
+from sloepond.resources.compiled import CompiledConfiguration, make_snapshot
+from sloepond.resources.findings import Finding
+from sloepond.resources.loading import load_resources
+from sloepond.resources.model import Backend, Resource
+
+RESOURCES_FILE = "resources.json"
+
+
+class InvalidExampleError(Exception):
+    """The example's resources have findings."""
+
+    def __init__(self, findings: Sequence[Finding]) -> None:
+        super().__init__("\n".join(map(str, findings)))
+
+
+class _ResourceFile(msgspec.Struct, frozen=True):
+    """Content of a resource file."""
+
+    resources: tuple[Resource, ...]
+
+
+class Declaration(msgspec.Struct, frozen=True):
+    """What a demo declares, and the file it is written to."""
+
+    configuration: CompiledConfiguration
+    file: Path
+
+
+def declare(example: Path, network: LoopbackNetwork, directory: Path) -> Declaration:
+    """Write the resources of `example`, moved to `network`, into `directory`.
+
+    :raises InvalidExampleError: where the example has findings.
+    """
+    loaded = load_resources([example])
+    if loaded.findings:
+        raise InvalidExampleError(loaded.findings)
+    resources = _move(loaded.resources, network)
+    file = directory / RESOURCES_FILE
+    file.write_bytes(msgspec.json.encode(_ResourceFile(tuple(resources))))
+    return Declaration(CompiledConfiguration(make_snapshot(1, resources)), file)
+
+
+def _move(resources: Sequence[Resource], network: LoopbackNetwork) -> list[Resource]:
+    host = FIRST_BACKEND_HOST
+    moved: list[Resource] = []
+    for resource in resources:
+        if isinstance(resource, Backend):
+            spec = msgspec.structs.replace(resource.spec, address=network.address(host, BACKEND_PORT))
+            moved.append(msgspec.structs.replace(resource, spec=spec))
+            host += 1
+        else:
+            moved.append(resource)
+    return moved
--- /dev/null
+++ b/sloepond/demo/processes.py
@@ -0,0 +1,116 @@
+"""Processes of a demo: started here, and ended here in any case."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+import trio
+
+from sloepond.standins.started import StandinStarted
+
+TERMINATE_WAIT_S = 1.0
+"""Time a process has to end after SIGTERM before it is killed."""
+
+LOG_TAIL_LINES = 15
+
+_READ_BYTES = 65_536
+
+
+class ProcessFailedError(Exception):
+    """A process ended before it was ready, or with an unexpected exit code."""
+
+
+class DemoProcess:
+    """One process; its standard error goes to a file.
+
+    :ivar name: shown in messages, and the name of the log file.
+    """
+
+    def __init__(self, name: str, process: trio.Process, log_file: Path) -> None:
+        self.name = name
+        self._process = process
+        self._log_file = log_file
+        self._unread = bytearray()
+
+    async def read_line(self) -> bytes:
+        """Return the next line of standard output.
+
+        :raises ProcessFailedError: where the output ends before.
+        """
+        output = self._process.stdout
+        while output is not None and b"\n" not in self._unread:
+            received = await output.receive_some(_READ_BYTES)
+            if not received:
+                raise ProcessFailedError(f"{self.name} ended early:\n{self.log_tail()}")
+            self._unread += received
+        line, _, self._unread = self._unread.partition(b"\n")
+        return bytes(line)
+
+    async def started(self) -> StandinStarted:
+        """Wait until a stand-in says that it is ready."""
+        return msgspec.json.decode(await self.read_line(), type=StandinStarted)
+
+    def check_running(self) -> None:
+        """Raise where the process has ended.
+
+        :raises ProcessFailedError: with the last lines of its standard error.
+        """
+        exit_code = self._process.poll()
+        if exit_code is not None:
+            raise ProcessFailedError(f"{self.name} ended with {exit_code}:\n{self.log_tail()}")
+
+    def terminate(self) -> None:
+        """Send SIGTERM."""
+        self._process.terminate()
+
+    async def wait(self) -> int:
+        """Wait for the end and return the exit code."""
+        return await self._process.wait()
+
+    async def end(self) -> None:
+        """End the process, by force where it does not end in time."""
+        if self._process.poll() is None:
+            self._process.terminate()
+            with trio.move_on_after(TERMINATE_WAIT_S):
+                await self._process.wait()
+        if self._process.poll() is None:
+            self._process.kill()
+            await self._process.wait()
+
+    def log_tail(self) -> str:
+        """Return the last lines of standard error."""
+        lines = self._log_file.read_text(encoding="utf-8", errors="replace").splitlines()
+        return "\n".join(lines[-LOG_TAIL_LINES:])
+
+
+class ProcessGroup:
+    """Starts Python modules as processes and ends them all."""
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        self.processes: list[DemoProcess] = []
+
+    async def start(self, name: str, module: str, arguments: Sequence[str]) -> DemoProcess:
+        """Start `python -m module arguments`."""
+        log_file = self._directory / f"{name}.log"
+        with log_file.open("wb") as log:
+            process = await trio.lowlevel.open_process(
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE,
+                stderr=log,
+            )
+        started = DemoProcess(name, process, log_file)
+        self.processes.append(started)
+        return started
+
+    async def end_all(self) -> None:
+        """End all processes, also where the caller is being cancelled."""
+        with trio.CancelScope(shield=True):
+            async with trio.open_nursery() as nursery:
+                for process in self.processes:
+                    nursery.start_soon(process.end)
--- /dev/null
+++ b/sloepond/demo/summary.py
@@ -0,0 +1,83 @@
+"""The table a demo prints."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Sequence
+
+from rich.console import Console
+from rich.table import Table
+
+from sloepond.core.packets import Reason
+from sloepond.demo.scenario import DemoResult
+from sloepond.standins.balance import measure_balance
+from sloepond.standins.caller_record import FlowRecord, FlowState, RequestOutcome
+from sloepond.standins.caller_report import all_requests, count_outcomes, count_states
+from sloepond.standins.checking import PromiseBroken, count_duplicates
+
+MAXIMUM_FINDINGS_SHOWN = 20
+
+
+def print_summary(result: DemoResult, findings: Sequence[PromiseBroken], console: Console) -> None:
+    """Print what was measured, and every broken promise."""
+    console.print(_outcome_table(result))
+    console.print(_balance_table(result))
+    stop = result.stop
+    console.print(f"{stop.balancer} stopped as planned in {stop.took_s:.1f} s, exit code {stop.exit_code}")
+    for finding in findings[:MAXIMUM_FINDINGS_SHOWN]:
+        console.print(f"broken: {finding.promise}: {finding.detail}", soft_wrap=True)
+    hidden = len(findings) - MAXIMUM_FINDINGS_SHOWN
+    if hidden > 0:
+        console.print(f"and {hidden} more")
+    console.print(f"broken promises: {len(findings)}")
+
+
+def _outcome_table(result: DemoResult) -> Table:
+    flows = result.evidence.flows
+    states = count_states(flows)
+    outcomes = count_outcomes(flows)
+    table = Table(title="Flows and requests")
+    table.add_column("measure")
+    table.add_column("count", justify="right")
+    table.add_column("detail")
+    table.add_row("flows", str(len(flows)), _counts(states))
+    table.add_row("broken flows", str(states[FlowState.BROKEN]), _break_reasons(flows))
+    table.add_row("misrouted replies", str(sum(flow.misrouted for flow in flows)), "")
+    table.add_row("requests", str(len(all_requests(flows))), _counts(outcomes))
+    table.add_row("refused, not run", str(outcomes[RequestOutcome.REFUSED]), _reasons(flows, outcomes))
+    table.add_row("outcome unknown", str(outcomes[RequestOutcome.UNKNOWN]), "")
+    table.add_row("duplicates", str(count_duplicates(result.evidence)), "run twice though not repeatable")
+    table.add_row("executions", str(len(result.evidence.executions)), "at all back ends")
+    items = sum(flow.feed_items for flow in flows)
+    table.add_row("feed items", str(items), f"{sum(flow.feed_gaps for flow in flows)} skipped")
+    return table
+
+
+def _balance_table(result: DemoResult) -> Table:
+    evidence = result.evidence
+    left_out = [departure.backend for departure in evidence.departures]
+    table = Table(title=f"Requests per slot of eligible back ends (without {', '.join(left_out)})")
+    for column in ("service", "back ends", "executed", "imbalance (max/mean)"):
+        table.add_column(column, justify="left" if column == "service" else "right")
+    for balance in measure_balance(evidence.configuration, evidence.executions, left_out):
+        table.add_row(
+            balance.service, str(balance.backends), str(balance.executed), f"{balance.imbalance:.2f}"
+        )
+    return table
+
+
+def _counts(counter: collections.Counter[FlowState] | collections.Counter[RequestOutcome]) -> str:
+    return ", ".join(f"{count} {value}" for value, count in counter.most_common() if count)
+
+
+def _break_reasons(flows: Sequence[FlowRecord]) -> str:
+    counter = collections.Counter(flow.break_reason for flow in flows if flow.state is FlowState.BROKEN)
+    return ", ".join(f"{count} {reason}" for reason, count in counter.most_common())
+
+
+def _reasons(flows: Sequence[FlowRecord], outcomes: collections.Counter[RequestOutcome]) -> str:
+    if not outcomes[RequestOutcome.REFUSED]:
+        return ""
+    refused = [item for item in all_requests(flows) if item.outcome is RequestOutcome.REFUSED]
+    counter = collections.Counter(Reason(item.reason).name.lower() for item in refused)
+    return ", ".join(f"{count} {reason}" for reason, count in counter.most_common())
--- a/sloepond/lab/__init__.py
+++ b/sloepond/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The simulated lab: the core on a simulated clock and network."""
--- /dev/null
+++ b/sloepond/lab/baseline.py
@@ -0,0 +1,163 @@
+"""A stateless baseline: each balancer decides alone from what it knows at the moment.
+
+It takes the rendezvous choice among its own view's eligible back ends and keeps
+it in a local cache.  It replicates nothing, and knows peers not at all.  It is
+here to show what the scenarios break without the core.
+"""
+
+from __future__ import annotations
+
+import random
+
+from sloepond.core.commands import (
+    Command,
+    CompleteStop,
+    ReadConfiguration,
+    SendToBackend,
+    SendToCaller,
+)
+from sloepond.core.context import NEVER
+from sloepond.core.counters import Counters
+from sloepond.core.events import (
+    BackendReplyReceived,
+    CallerPacketReceived,
+    ConfigurationRead,
+    Event,
+    StopRequested,
+    TimerFired,
+)
+from sloepond.core.messages import Member
+from sloepond.core.packets import (
+    BackendPacket,
+    BackendReply,
+    BackendReplyKind,
+    CallerPacket,
+    CallerPacketKind,
+    CallerReply,
+    CallerReplyKind,
+    FlowKey,
+    Reason,
+)
+from sloepond.core.routing.placement import hash_choice
+from sloepond.core.routing.ring import flow_hash
+from sloepond.core.settings import NodeSettings
+from sloepond.resources.compiled import EMPTY_CONFIGURATION, CompiledConfiguration
+
+STOP_AFTER_S = 3.0
+"""Seconds a planned stop goes on, so that the fabric learns of it."""
+
+_REPLIES = {
+    BackendReplyKind.OPENED: CallerReplyKind.OPENED,
+    BackendReplyKind.ANSWER: CallerReplyKind.ANSWER,
+    BackendReplyKind.REFUSED: CallerReplyKind.REFUSED,
+    BackendReplyKind.CANCELLED: CallerReplyKind.REFUSED,
+    BackendReplyKind.PUSH: CallerReplyKind.PUSH,
+    BackendReplyKind.FLOW_UNKNOWN: CallerReplyKind.FLOW_LOST,
+    BackendReplyKind.ALIVE: CallerReplyKind.ALIVE,
+}
+
+
+class StatelessConfiguration:
+    """Holds the newest generation read."""
+
+    def __init__(self) -> None:
+        self.in_force: CompiledConfiguration = EMPTY_CONFIGURATION
+
+
+class StatelessNode:
+    """The baseline; see the module.  It has the interface of the core's node."""
+
+    def __init__(self, identity: Member, settings: NodeSettings, random_source: random.Random) -> None:
+        self.identity = identity
+        self.configuration = StatelessConfiguration()
+        self.counters = Counters()
+        self._settings = settings
+        self._random = random_source
+        self._cache: dict[FlowKey, str] = {}
+        self._next_read = 0.0
+        self._stop_at = NEVER
+
+    def start(self, now: float) -> list[Command]:
+        """Begin to read the configuration."""
+        return self._read(now)
+
+    def next_deadline(self) -> float:
+        """Return the time of the next read or of the end of a planned stop."""
+        return min(self._next_read, self._stop_at)
+
+    def handle(self, event: Event, now: float) -> list[Command]:
+        """Take one event."""
+        if isinstance(event, CallerPacketReceived):
+            self.counters.caller_packets += 1
+            return self._caller_packet(event.packet)
+        if isinstance(event, BackendReplyReceived):
+            return [SendToCaller(_caller_reply(event.reply))]
+        if isinstance(event, TimerFired):
+            return self._on_time(now)
+        if isinstance(event, ConfigurationRead):
+            self._configuration_read(event)
+        elif isinstance(event, StopRequested):
+            self._stop_at = now + STOP_AFTER_S
+        return []
+
+    def _on_time(self, now: float) -> list[Command]:
+        if now >= self._stop_at:
+            return [CompleteStop()]
+        return self._read(now) if now >= self._next_read else []
+
+    def _read(self, now: float) -> list[Command]:
+        self._next_read = now + self._settings.configuration.read_interval_s
+        return [ReadConfiguration(self.configuration.in_force.generation)]
+
+    def _configuration_read(self, event: ConfigurationRead) -> None:
+        if event.snapshot.generation > self.configuration.in_force.generation:
+            self.configuration.in_force = CompiledConfiguration(event.snapshot)
+
+    def _caller_packet(self, packet: CallerPacket) -> list[Command]:
+        address = self._cache.get(packet.flow) or self._choose(packet.flow)
+        if address is None:
+            return [SendToCaller(_refusal(packet))]
+        if packet.kind is CallerPacketKind.CLOSE:
+            self._cache.pop(packet.flow, None)
+        else:
+            self._cache[packet.flow] = address
+        return [SendToBackend(address, _backend_packet(packet))]
+
+    def _choose(self, flow: FlowKey) -> str | None:
+        service = self.configuration.in_force.services_by_address.get(flow.service_address)
+        if service is None or not service.placeable:
+            return None
+        return hash_choice(flow_hash(flow), service.placeable).address
+
+
+def _backend_packet(packet: CallerPacket) -> BackendPacket:
+    return BackendPacket(
+        kind=packet.kind,
+        flow=packet.flow,
+        request_id=packet.request_id,
+        attempt=packet.attempt,
+        timeout_ms=packet.timeout_ms,
+        payload=packet.payload,
+    )
+
+
+def _caller_reply(reply: BackendReply) -> CallerReply:
+    return CallerReply(
+        kind=_REPLIES[reply.kind],
+        flow=reply.flow,
+        request_id=reply.request_id,
+        attempt=reply.attempt,
+        part=reply.part,
+        parts=reply.parts,
+        payload=reply.payload,
+    )
+
+
+def _refusal(packet: CallerPacket) -> CallerReply:
+    return CallerReply(
+        kind=CallerReplyKind.REFUSED,
+        flow=packet.flow,
+        request_id=packet.request_id,
+        attempt=packet.attempt,
+        reason=Reason.NO_PERMITTED_BACKEND,
+    )
--- /dev/null
+++ b/sloepond/lab/callers.py
@@ -0,0 +1,245 @@
+"""The callers: flows that arrive, run the stand-in caller model and end."""
+
+from __future__ import annotations
+
+import random
+from typing import Protocol
+
+from sloepond.core.packets import CallerPacket, CallerPacketKind, CallerReply, FlowKey
+from sloepond.lab.checkers.flows import FlowChecker
+from sloepond.lab.checkers.requests import RequestChecker
+from sloepond.lab.engine import EventQueue
+from sloepond.lab.scenario import CallerModel, LoadModel
+from sloepond.standins.caller_model import CallerFlow
+from sloepond.standins.caller_plan import CallerSettings, FlowPlan, RequestPlan
+from sloepond.standins.caller_record import FlowState, RequestOutcome
+from sloepond.standins.content import FEED_PAYLOAD, download_payload
+
+LATE_REPLIES_S = 13.0
+"""Seconds after the end of a flow during which replies to it are still checked."""
+REQUEST_PAYLOAD = b"request"
+CANCEL_AFTER_S = 0.02
+PART_BYTES = 1_000
+"""Payload bytes of one part of an answer."""
+
+
+class Sprayer(Protocol):
+    """Takes callers' packets."""
+
+    def spray(self, packet: CallerPacket) -> None:
+        """Send a packet to any balancer."""
+
+
+class ServiceEntrance:
+    """Where callers of one service send to.
+
+    :ivar fabrics: one is drawn for each flow.
+    """
+
+    def __init__(self, name: str, address: str, fabrics: list[Sprayer]) -> None:
+        self.name = name
+        self.address = address
+        self.fabrics = fabrics
+
+
+class _Caller:
+    """One flow and the fabric it uses."""
+
+    __slots__ = ("ended_requests", "established", "fabric", "finished", "flow", "heard_at", "timer_at")
+
+    def __init__(self, flow: CallerFlow, fabric: Sprayer) -> None:
+        self.flow = flow
+        self.fabric = fabric
+        self.timer_at = float("inf")
+        self.established = False
+        self.finished = False
+        self.heard_at = -float("inf")
+        self.ended_requests = 0
+
+
+class CallerPopulation:
+    """All callers of one run.
+
+    :ivar started: flows started so far.
+    :ivar ended: flows that came to an end.
+    """
+
+    def __init__(
+        self,
+        queue: EventQueue,
+        model: CallerModel,
+        flow_checker: FlowChecker,
+        request_checker: RequestChecker,
+    ) -> None:
+        self._queue = queue
+        self._model = model
+        self._flow_checker = flow_checker
+        self._request_checker = request_checker
+        self._callers: dict[FlowKey, _Caller] = {}
+        self.started = 0
+        self.ended = 0
+        self.unopened = 0
+
+    # Arrivals
+
+    def add_load(
+        self, load: LoadModel, entrance: ServiceEntrance, start: float, random_source: random.Random
+    ) -> None:
+        """Let the flows of `load` arrive from time `start` on."""
+        first = start + load.start_s
+        times = sorted(
+            (first + random_source.random() * load.over_s for _ in range(load.flows)), reverse=True
+        )
+        arrivals = _Arrivals(load, entrance, times, random_source, self._settings(load))
+        if times:
+            self._queue.schedule(times[-1], self._arrive, arrivals)
+
+    def _settings(self, load: LoadModel) -> CallerSettings:
+        model = self._model
+        return CallerSettings(
+            retransmit_s=model.retransmit_s,
+            retransmit_maximum_s=model.retransmit_maximum_s,
+            patience_s=model.patience_s,
+            keepalive_s=load.keepalive_s,
+            feed_keepalive_s=load.feed_keepalive_s,
+            feed_patience_s=model.patience_s,
+        )
+
+    def _arrive(self, arrivals: _Arrivals) -> None:
+        arrivals.times.pop()
+        if arrivals.times:
+            self._queue.schedule(arrivals.times[-1], self._arrive, arrivals)
+        draw = arrivals.random
+        entrance = arrivals.entrance
+        self.started += 1
+        flow_key = FlowKey(entrance.address, self._address(), draw.getrandbits(48))
+        plan = plan_flow(arrivals.load, self._model, draw)
+        flow = CallerFlow(flow_key, entrance.name, plan, arrivals.settings)
+        caller = _Caller(flow, draw.choice(entrance.fabrics))
+        self._callers[flow_key] = caller
+        self._after(caller, flow.start(self._queue.now))
+
+    def _address(self) -> str:
+        """Return a caller's address; addresses are used again by later flows."""
+        number = self.started % 60_000
+        return f"10.200.{number // 250}.{number % 250 + 1}:{20_000 + number % 7}"
+
+    # Replies and timers
+
+    def receive(self, reply: CallerReply) -> None:
+        """Take one reply from a balancer."""
+        caller = self._callers.get(reply.flow)
+        if caller is None:
+            return
+        caller.heard_at = self._queue.now
+        flow = caller.flow
+        refused_answers = flow.record.answered_after_refusal
+        packets = flow.handle(reply, self._queue.now)
+        if flow.record.answered_after_refusal != refused_answers:
+            self._request_checker.answered_after_refusal(flow.record, reply, self._queue.now)
+        if not caller.finished:
+            self._after(caller, packets, reply)
+
+    def _on_timer(self, caller: _Caller) -> None:
+        now = self._queue.now
+        if caller.finished or caller.timer_at > now:
+            return
+        caller.timer_at = float("inf")
+        self._after(caller, caller.flow.on_time(now))
+
+    def _after(self, caller: _Caller, packets: list[CallerPacket], reply: CallerReply | None = None) -> None:
+        """Send the packets, tell the checkers what changed and set the timer."""
+        flow = caller.flow
+        record = flow.record
+        if not caller.established and record.state is not FlowState.OPENING:
+            self._opening_ended(caller)
+        if caller.ended_requests < len(record.requests):
+            self._requests_ended(caller, reply)
+        for packet in packets:
+            if packet.kind is CallerPacketKind.REQUEST and packet.attempt == 0:
+                self._request_checker.request_sent(packet.flow, packet.request_id, packet.repeatable)
+            caller.fabric.spray(packet)
+        deadline = flow.next_deadline()
+        if deadline < caller.timer_at:
+            caller.timer_at = deadline
+            self._queue.schedule(deadline, self._on_timer, caller)
+        elif flow.is_finished:
+            self._finish(caller)
+
+    def _opening_ended(self, caller: _Caller) -> None:
+        record = caller.flow.record
+        if record.opened_at:
+            caller.established = True
+            self._flow_checker.flow_established(record.flow, record.backend)
+        elif record.state is FlowState.REFUSED:
+            self._request_checker.flow_refused(record, self._queue.now)
+        elif record.state is FlowState.UNOPENED:
+            self.unopened += 1
+
+    def _requests_ended(self, caller: _Caller, reply: CallerReply | None) -> None:
+        record = caller.flow.record
+        now = self._queue.now
+        while caller.ended_requests < len(record.requests):
+            request = record.requests[caller.ended_requests]
+            if request.outcome is RequestOutcome.PENDING:
+                return
+            caller.ended_requests += 1
+            if request.outcome in (RequestOutcome.UNKNOWN, RequestOutcome.SILENT):
+                self._request_checker.request_unknown(record, request, now)
+            elif reply is not None and request.outcome is not RequestOutcome.ANSWERED:
+                self._request_checker.request_ended(record, request, reply, now)
+
+    def _finish(self, caller: _Caller) -> None:
+        if caller.finished:
+            return
+        caller.finished = True
+        self.ended += 1
+        self._flow_checker.flow_ended(caller.flow.record, caller.heard_at, self._queue.now)
+        self._queue.schedule(self._queue.now + LATE_REPLIES_S, self._forget, caller)
+
+    def _forget(self, caller: _Caller) -> None:
+        self._callers.pop(caller.flow.record.flow, None)
+
+
+class _Arrivals:
+    """Flows of one load still to come; `times` is sorted, the next one last."""
+
+    __slots__ = ("entrance", "load", "random", "settings", "times")
+
+    def __init__(
+        self,
+        load: LoadModel,
+        entrance: ServiceEntrance,
+        times: list[float],
+        random_source: random.Random,
+        settings: CallerSettings,
+    ) -> None:
+        self.load = load
+        self.entrance = entrance
+        self.times = times
+        self.random = random_source
+        self.settings = settings
+
+
+def plan_flow(load: LoadModel, model: CallerModel, draw: random.Random) -> FlowPlan:
+    """Return what one flow of `load` does."""
+    if load.kind == "download":
+        size = max(1, load.parts * PART_BYTES - PART_BYTES // 2)
+        return FlowPlan((RequestPlan(download_payload(size), repeatable=True),), 0.0)
+    duration = draw.expovariate(1.0 / load.duration_s) if load.duration_s > 0 else 0.0
+    if load.kind == "feed":
+        return FlowPlan((RequestPlan(FEED_PAYLOAD, repeatable=True),), duration)
+    count = max(1, round(draw.uniform(0.5, 1.5) * load.requests)) if load.requests >= 1 else 1
+    pause = duration / (count + 1)
+    requests = tuple(_session_request(load, model, draw, pause) for _ in range(count))
+    return FlowPlan(requests, pause)
+
+
+def _session_request(load: LoadModel, model: CallerModel, draw: random.Random, pause_s: float) -> RequestPlan:
+    cancelled = model.cancel > 0 and draw.random() < model.cancel
+    return RequestPlan(
+        payload=REQUEST_PAYLOAD,
+        repeatable=draw.random() >= load.not_repeatable,
+        pause_s=pause_s,
+        cancel_after_s=CANCEL_AFTER_S if cancelled else None,
+    )
--- /dev/null
+++ b/sloepond/lab/checkers/flows.py
@@ -0,0 +1,103 @@
+"""Established flows: none may be lost, moved or left without a reply.
+
+A flow is established once its caller received OPENED.  It is broken where the
+caller is told it is lost, where another back end serves it, or where it gets no
+reply for the caller's whole patience, while its back end runs and some balancer
+can reach it.  Flows whose back end was itself killed do not count.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from sloepond.core.packets import FlowKey
+from sloepond.lab.checkers.violations import Promise, ViolationLog
+from sloepond.standins.backend_model import Execution
+from sloepond.standins.caller_record import BreakReason, FlowRecord
+
+
+class BackendTruth(Protocol):
+    """What the checker may ask of the simulated world."""
+
+    def was_killed_since(self, backend: str, time: float) -> bool:
+        """Return whether the back end was killed after `time` or is not running."""
+
+    def was_isolated_since(self, backend: str, time: float) -> bool:
+        """Return whether no balancer could reach the back end at a moment after `time`."""
+
+
+class FlowChecker:
+    """Judges flows; see the module.
+
+    :ivar established: flows established so far.
+    :ivar open: flows established and not ended.
+    :ivar open_peak: largest number of open flows.
+    """
+
+    def __init__(self, log: ViolationLog, truth: BackendTruth, patience_s: float) -> None:
+        self._log = log
+        self._truth = truth
+        self._patience_s = patience_s
+        self._backend_of: dict[FlowKey, str] = {}
+        self._accepted_by: dict[FlowKey, str] = {}
+        self._broken: set[FlowKey] = set()
+        self.broken_at: list[float] = []
+        self.established = 0
+        self.open_peak = 0
+
+    @property
+    def open(self) -> int:
+        """Flows established and not ended."""
+        return len(self._backend_of)
+
+    def flow_accepted(self, flow: FlowKey, backend: str) -> None:
+        """A back end has accepted a flow it did not hold."""
+        if flow not in self._backend_of:
+            self._accepted_by[flow] = backend
+
+    def flow_established(self, flow: FlowKey, backend: str) -> None:
+        """A caller received its first OPENED.
+
+        :param backend: which back end it names; empty where the packet names none,
+            then the one that accepted the flow last counts.
+        """
+        self.established += 1
+        accepted_by = self._accepted_by.pop(flow, "")
+        self._backend_of[flow] = backend or accepted_by
+        self.open_peak = max(self.open_peak, len(self._backend_of))
+
+    def executed(self, execution: Execution, now: float) -> None:
+        """A back end started a request."""
+        backend = self._backend_of.get(execution.flow)
+        if backend is None or backend == execution.backend:
+            return
+        if not self._truth.was_killed_since(backend, 0.0):
+            detail = f"moved from {backend} to {execution.backend}"
+            self._report(execution.flow, now, detail)
+
+    def flow_ended(self, record: FlowRecord, heard_at: float, now: float) -> None:
+        """A caller closed its flow or gave it up.
+
+        :param heard_at: when the caller last got any reply on the flow.
+        """
+        self._accepted_by.pop(record.flow, None)
+        backend = self._backend_of.pop(record.flow, None)
+        if backend is None or record.break_reason is BreakReason.NONE:
+            return
+        if self._truth.was_killed_since(backend, record.opened_at):
+            return
+        if record.break_reason is BreakReason.SILENT and now - heard_at < self._patience_s:
+            return
+        silent = record.break_reason in (BreakReason.SILENT, BreakReason.FEED_STALLED)
+        if silent and self._truth.was_isolated_since(backend, now - self._patience_s):
+            return
+        detail = f"{record.break_reason} at {backend}, reason {record.reason.name}"
+        self._report(record.flow, now, detail)
+
+    def _report(self, flow: FlowKey, now: float, detail: str) -> None:
+        if flow in self._broken:
+            return
+        self._broken.add(flow)
+        self.broken_at.append(now)
+        name = f"flow {flow.incarnation:x} of {flow.caller_address} to {flow.service_address}"
+        self._log.add(Promise.BROKEN_FLOWS, now, f"{name}: {detail}")
--- /dev/null
+++ b/sloepond/lab/checkers/places.py
@@ -0,0 +1,80 @@
+"""Back ends: packets of their own service only, from permitted places only, no new work when leaving."""
+
+from __future__ import annotations
+
+from sloepond.core.packets import BackendPacket
+from sloepond.lab.checkers.violations import Promise, ViolationLog
+from sloepond.resources.compiled import CompiledConfiguration
+
+
+class PlaceChecker:
+    """Checks each packet that reaches a back end.
+
+    :ivar last_new_work_s: longest time after the declaration of a drain at which
+        a back end was still given a new flow, in seconds.
+    """
+
+    GRACE_S = 5.0
+    """Seconds after a generation is published during which the former one may rule."""
+
+    def __init__(self, log: ViolationLog) -> None:
+        self._log = log
+        self._permitted_until: dict[str, float] = {}
+        self._service_of: dict[str, str] = {}
+        self._draining_since: dict[str, float] = {}
+        self.last_new_work_s = 0.0
+
+    def published(self, configuration: CompiledConfiguration, now: float) -> None:
+        """The operator has declared a generation."""
+        for name, backend in configuration.backends_by_name.items():
+            service = configuration.services_by_name[backend.service]
+            self._service_of[name] = service.address
+            if backend.permitted:
+                self._permitted_until[name] = float("inf")
+            elif self._permitted_until.get(name) == float("inf"):
+                self._permitted_until[name] = now + self.GRACE_S
+            self._note_drain(name, backend.takes_new_flows, now)
+        for name in self._service_of.keys() - configuration.backends_by_name.keys():
+            self._note_drain(name, False, now)
+
+    def withheld(self, now: float) -> None:
+        """The platform stopped serving; drains it has just declared may be unknown until it is back."""
+        for name, since in self._draining_since.items():
+            if now - since < self.GRACE_S:
+                self._draining_since[name] = float("inf")
+
+    def served_again(self, now: float) -> None:
+        """The platform serves the latest generation again."""
+        for name, since in self._draining_since.items():
+            if since > now:
+                self._draining_since[name] = now
+
+    def _note_drain(self, name: str, takes_new_flows: bool, now: float) -> None:
+        if takes_new_flows:
+            self._draining_since.pop(name, None)
+        else:
+            self._draining_since.setdefault(name, now)
+
+    def packet_arrived(self, backend: str, packet: BackendPacket, is_new_flow: bool, now: float) -> None:
+        """A packet reached `backend`.
+
+        :param is_new_flow: whether it opens a flow the back end did not hold.
+        """
+        if packet.flow.service_address != self._service_of.get(backend):
+            detail = f"packet for {packet.flow.service_address} reached {backend}"
+            self._log.add(Promise.MISROUTED_PACKETS, now, detail)
+        if is_new_flow:
+            self._check_new_flow(backend, now)
+
+    def _check_new_flow(self, backend: str, now: float) -> None:
+        if now > self._permitted_until.get(backend, -1.0):
+            self._log.add(Promise.PLACE_VIOLATIONS, now, f"new flow at {backend}, a place not permitted")
+        since = self._draining_since.get(backend)
+        if since is None or backend not in self._permitted_until:
+            return
+        late = now - since
+        if late > self.last_new_work_s:
+            self.last_new_work_s = late
+        if late > self.GRACE_S:
+            detail = f"new flow at {backend}, {late:.2f} s after it was declared draining"
+            self._log.add(Promise.NEW_WORK_AFTER_DRAIN, now, detail)
--- /dev/null
+++ b/sloepond/lab/checkers/violations.py
@@ -0,0 +1,56 @@
+"""Broken promises: how often, and the first event of each."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class Promise(enum.StrEnum):
+    """What is checked; the values are the names of the result's fields."""
+
+    BROKEN_FLOWS = "broken_flows"
+    MISROUTED_PACKETS = "misrouted_packets"
+    PLACE_VIOLATIONS = "place_violations"
+    ANSWERS_CROSSED = "answers_crossed"
+    ANSWERS_INCOMPLETE = "answers_incomplete"
+    DUPLICATE_EXECUTIONS = "duplicate_executions"
+    FALSE_NOT_RUN = "false_not_run"
+    CONFIGURATION_REVERTS = "configuration_reverts"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    REFUSED = "refused"
+    NEW_WORK_AFTER_DRAIN = "new_work_after_drain_seconds"
+    CONFIGURATION_IN_FORCE = "configuration_in_force_seconds_max"
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """One event that broke a promise.
+
+    :ivar at: seconds after the cells have formed.
+    """
+
+    promise: Promise
+    at: float
+    detail: str
+
+
+class ViolationLog:
+    """Counts violations and keeps the first few of each promise.
+
+    :ivar counts: violations of each promise.
+    :ivar first: the first violations of each promise, at most `KEPT`.
+    """
+
+    KEPT = 20
+
+    def __init__(self) -> None:
+        self.counts: dict[Promise, int] = dict.fromkeys(Promise, 0)
+        self.first: dict[Promise, list[Violation]] = {promise: [] for promise in Promise}
+
+    def add(self, promise: Promise, at: float, detail: str) -> None:
+        """Count one violation."""
+        self.counts[promise] += 1
+        kept = self.first[promise]
+        if len(kept) < self.KEPT:
+            kept.append(Violation(promise, at, detail))
--- /dev/null
+++ b/sloepond/lab/checks.py
@@ -0,0 +1,78 @@
+"""Checks a scenario beyond its types: every name must be one of the scenario."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from sloepond.lab import faults
+from sloepond.lab.declaration import hall_places
+from sloepond.lab.scenario import Scenario, ScenarioFinding, ScenarioInvalid
+
+_KINDS = ("session", "feed", "download")
+
+
+def require_valid(scenario: Scenario, place: str) -> Scenario:
+    """Return the scenario.
+
+    :raises ScenarioInvalid: with all findings.
+    """
+    findings = [*_check_services(scenario, place), *_check_load(scenario, place)]
+    findings += _check_faults(scenario, place)
+    if findings:
+        raise ScenarioInvalid(findings)
+    return scenario
+
+
+def _check_services(scenario: Scenario, place: str) -> Iterator[ScenarioFinding]:
+    names = [service.name for service in scenario.services]
+    if len(set(names)) != len(names):
+        yield ScenarioFinding(f"{place}: services", "two services have the same name")
+
+
+def _check_load(scenario: Scenario, place: str) -> Iterator[ScenarioFinding]:
+    services = {service.name for service in scenario.services}
+    for number, load in enumerate(scenario.load, start=1):
+        where = f"{place}: load[{number}]"
+        if load.service not in services:
+            yield ScenarioFinding(where, f"no service is named {load.service}")
+        if load.kind not in _KINDS:
+            yield ScenarioFinding(where, f"kind {load.kind} is none of {', '.join(_KINDS)}")
+
+
+def _check_faults(scenario: Scenario, place: str) -> Iterator[ScenarioFinding]:
+    known = _machine_names(scenario) | _hall_names(scenario)
+    for number, fault in enumerate(scenario.faults, start=1):
+        for name in _names_in(fault):
+            if name not in known:
+                yield ScenarioFinding(f"{place}: faults[{number}]", f"nothing is named {name}")
+
+
+def _names_in(fault: faults.Fault) -> Iterator[str]:
+    for field in ("balancers", "backends", "side", "other"):
+        value = getattr(fault, field, ())
+        if isinstance(value, tuple):
+            yield from value
+    if isinstance(fault, faults.Join):
+        yield fault.hall
+
+
+def _hall_names(scenario: Scenario) -> set[str]:
+    return {place.location.hall for place in hall_places(scenario.topology)}
+
+
+def _machine_names(scenario: Scenario) -> set[str]:
+    """Return the names of all machines there may be, those that join later included."""
+    first = len(_hall_names(scenario)) * scenario.topology.balancers_per_hall
+    later = sum(_machines_added(fault, first) for fault in scenario.faults)
+    names = {f"balancer-{number + 1}" for number in range(first + later)}
+    for service in scenario.services:
+        names |= {f"{service.name}-{number + 1}" for number in range(service.backends)}
+    return names
+
+
+def _machines_added(fault: faults.Fault, first: int) -> int:
+    if isinstance(fault, faults.Join):
+        return fault.count
+    if isinstance(fault, faults.RollingReplace):
+        return len(fault.balancers) or first
+    return first if isinstance(fault, faults.Stop) and fault.replace else 0
--- /dev/null
+++ b/sloepond/lab/director.py
@@ -0,0 +1,292 @@
+"""Carries out the timeline of a scenario in a world."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from sloepond.core.events import StopRequested
+from sloepond.lab import faults
+from sloepond.lab.balancer import BalancerHost
+from sloepond.lab.world import World
+from sloepond.resources.model import BackendState
+
+STOP_POLL_S = 0.2
+
+
+class Director:
+    """Schedules the faults of a timeline; see `sloepond.lab.faults`.
+
+    :param world: built, not yet started.
+    """
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._queue = world.queue
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            faults.Crash: self._crash,
+            faults.Stop: self._stop,
+            faults.RollingReplace: self._rolling_replace,
+            faults.Join: self._join,
+            faults.Pause: self._pause,
+            faults.Partition: self._partition,
+            faults.Disturb: self._disturb,
+            faults.Drain: self._drain,
+            faults.BackendCrash: self._backend_crash,
+            faults.BackendLie: self._backend_lie,
+            faults.ConfigurationChange: self._configuration_change,
+            faults.PlatformDown: self._platform_down,
+            faults.PlatformStale: self._platform_stale,
+            faults.ConfigurationDelay: self._configuration_delay,
+        }
+        self._down = 0
+        self._stale: list[int] = []
+        self._blocked: list[set[tuple[str, str]]] = []
+        self._unreachable: list[set[str]] = []
+
+    def schedule(self, timeline: tuple[faults.Fault, ...]) -> None:
+        """Schedule all entries."""
+        form_s = self._world.scenario.timing.form_s
+        for fault in timeline:
+            self._queue.schedule(form_s + fault.at, self._apply, fault)
+
+    def _apply(self, fault: faults.Fault) -> None:
+        self._handlers[type(fault)](fault)
+
+    def _later(self, delay: float, action: Callable[[], None]) -> None:
+        self._queue.schedule(self._queue.now + delay, _call, action)
+
+    # Balancers
+
+    def _hosts(self, names: tuple[str, ...]) -> list[BalancerHost]:
+        """Return the balancers named, or standing in the halls named."""
+        wanted = set(names)
+        hosts = self._world.balancers.values()
+        return [host for host in hosts if host.name in wanted or hall_of(host) in wanted]
+
+    def _crash(self, fault: faults.Crash) -> None:
+        for host in self._hosts(fault.balancers):
+            if host.node is None:
+                continue
+            self._world.note(f"{host.name} crashes")
+            self._world.crash_balancer(host)
+            if fault.restart_after_s is not None:
+                self._later(fault.restart_after_s, partial(self._start, host))
+
+    def _start(self, host: BalancerHost) -> None:
+        if host.node is None:
+            self._world.note(f"{host.name} starts")
+            self._world.start_balancer(host)
+
+    def _stop(self, fault: faults.Stop) -> None:
+        for host in self._hosts(fault.balancers):
+            if not self._request_stop(host):
+                continue
+            if fault.replace:
+                self._when_ended(host, host.process, partial(self._replace, host))
+            elif fault.restart:
+                self._when_ended(host, host.process, partial(self._start, host))
+
+    def _request_stop(self, host: BalancerHost) -> bool:
+        """Ask a process to stop; return False where there is none or it is stopping already."""
+        if host.node is None or host.leaving:
+            return False
+        self._world.note(f"{host.name} is asked to stop")
+        host.leaving = True
+        self._world.fabrics[host.cell].changed(host, present=False)
+        host.receive_result((host.process, StopRequested()))
+        return True
+
+    def _when_ended(self, host: BalancerHost, process: int, action: Callable[[], None]) -> None:
+        if host.node is None or host.process != process:
+            action()
+        else:
+            self._later(STOP_POLL_S, partial(self._when_ended, host, process, action))
+
+    def _replace(self, host: BalancerHost) -> None:
+        new = self._world.add_balancer(hall_of(host), host.cell)
+        self._world.note(f"{new.name} starts in place of {host.name}")
+
+    def _rolling_replace(self, fault: faults.RollingReplace) -> None:
+        hosts = self._hosts(fault.balancers) if fault.balancers else list(self._world.balancers.values())
+        self._replace_next(hosts, fault.pause_s)
+
+    def _replace_next(self, hosts: list[BalancerHost], pause_s: float) -> None:
+        if not hosts:
+            return
+        host = hosts[0]
+        self._request_stop(host)
+
+        def ended() -> None:
+            self._replace(host)
+            self._later(pause_s, partial(self._replace_next, hosts[1:], pause_s))
+
+        self._when_ended(host, host.process, ended)
+
+    def _join(self, fault: faults.Join) -> None:
+        for _ in range(fault.count):
+            host = self._world.add_balancer(fault.hall)
+            self._world.note(f"{host.name} joins")
+
+    def _pause(self, fault: faults.Pause) -> None:
+        for host in self._hosts(fault.balancers):
+            if host.node is None or host.paused:
+                continue
+            self._world.note(f"{host.name} pauses for {fault.duration_s:g} s")
+            host.pause()
+            self._queue.schedule(self._queue.now + fault.duration_s, host.wake, host.process)
+
+    # Network
+
+    def _partition(self, fault: faults.Partition) -> None:
+        side = self._side(fault.side, fault.backends)
+        other = self._side(fault.other, fault.backends) if fault.other else self._rest(side, fault.backends)
+        pairs = {(first, second) for first in side for second in other if first != second}
+        if not fault.one_way:
+            pairs |= {(second, first) for first, second in pairs}
+        unreachable = side if fault.platform else set()
+        self._world.note(f"partition: {', '.join(fault.side)} for {fault.duration_s:g} s")
+        self._blocked.append(pairs)
+        self._unreachable.append(unreachable)
+        self._update_reach()
+        self._later(fault.duration_s, partial(self._heal, pairs, unreachable))
+
+    def _heal(self, pairs: set[tuple[str, str]], unreachable: set[str]) -> None:
+        self._world.note("partition heals")
+        self._blocked = [kept for kept in self._blocked if kept is not pairs]
+        self._unreachable = [kept for kept in self._unreachable if kept is not unreachable]
+        self._update_reach()
+
+    def _update_reach(self) -> None:
+        self._world.network.blocked = set().union(*self._blocked)
+        self._world.platform.unreachable = set().union(*self._unreachable)
+
+    def _side(self, names: tuple[str, ...], backends: bool) -> set[str]:
+        wanted = set(names)
+        side = {host.name for host in self._hosts(names)}
+        for host in self._world.backends.values():
+            location = host.endpoint.location
+            in_hall = backends and location is not None and location.hall in wanted
+            if in_hall or host.name in wanted:
+                side.add(host.name)
+        return side
+
+    def _rest(self, side: set[str], backends: bool) -> set[str]:
+        rest = set(self._world.balancers)
+        if backends:
+            rest |= set(self._world.backends)
+        return rest - side
+
+    def _disturb(self, fault: faults.Disturb) -> None:
+        network = self._world.network
+        self._world.note(f"links lose {fault.loss:.0%} for {fault.duration_s:g} s")
+        network.disturb(fault.loss, fault.duplicate, fault.reorder)
+        self._later(fault.duration_s, network.reset_disturbance)
+
+    # Back ends
+
+    def _drain(self, fault: faults.Drain) -> None:
+        self._declare_state(fault.backends, BackendState.DRAINING)
+        if fault.notice:
+            self._set_draining(fault.backends, True)
+        if fault.restore_after_s is not None:
+            self._later(fault.restore_after_s, partial(self._restore, fault.backends))
+
+    def _restore(self, backends: tuple[str, ...]) -> None:
+        self._set_draining(backends, False)
+        self._declare_state(backends, BackendState.ACTIVE)
+
+    def _declare_state(self, backends: tuple[str, ...], state: BackendState) -> None:
+        self._world.note(f"{', '.join(backends)} declared {state.value}")
+        self._world.declaration.set_state(backends, state)
+        self._world.publish()
+
+    def _set_draining(self, backends: tuple[str, ...], draining: bool) -> None:
+        for name in backends:
+            model = self._world.backends[name].model
+            if model is not None:
+                model.draining = draining
+
+    def _backend_crash(self, fault: faults.BackendCrash) -> None:
+        for name in fault.backends:
+            host = self._world.backends[name]
+            if host.model is None:
+                continue
+            self._world.note(f"{name} crashes")
+            host.kill()
+            self._later(fault.restart_after_s, partial(self._backend_start, name))
+
+    def _backend_start(self, name: str) -> None:
+        self._world.note(f"{name} starts")
+        self._world.backends[name].start()
+
+    def _backend_lie(self, fault: faults.BackendLie) -> None:
+        for name in fault.backends:
+            self._world.note(f"{name} misleads for {fault.duration_s:g} s")
+            host = self._world.backends[name]
+            host.mislead(fault.load_factor, fault.lag_s, fault.healthy)
+            self._later(fault.duration_s, partial(host.mislead, 1.0, 0.0, None))
+
+    # Configuration
+
+    def _configuration_change(self, fault: faults.ConfigurationChange) -> None:
+        self._world.declaration.change_label()
+        self._world.publish()
+
+    def _platform_down(self, fault: faults.PlatformDown) -> None:
+        self._world.note(f"configuration service down for {fault.duration_s:g} s")
+        self._down += 1
+        self._platform_changed()
+        self._later(fault.duration_s, self._platform_up)
+
+    def _platform_up(self) -> None:
+        self._down -= 1
+        self._platform_changed()
+
+    def _platform_stale(self, fault: faults.PlatformStale) -> None:
+        self._world.note(f"configuration service stale for {fault.duration_s:g} s")
+        self._stale.append(fault.generations)
+        self._platform_changed()
+        self._later(fault.duration_s, partial(self._platform_fresh, fault.generations))
+
+    def _platform_fresh(self, generations: int) -> None:
+        self._stale.remove(generations)
+        self._platform_changed()
+
+    def _platform_changed(self) -> None:
+        platform = self._world.platform
+        platform.down = self._down > 0
+        platform.stale_generations = max(self._stale, default=0)
+        if platform.down or platform.stale_generations:
+            self._world.platform_withheld()
+        else:
+            self._world.note("configuration service serves the latest generation")
+            self._world.platform_served_again()
+
+    def _configuration_delay(self, fault: faults.ConfigurationDelay) -> None:
+        hosts = self._hosts(fault.balancers)
+        names = {host.name for host in hosts}
+        self._world.note(f"no configuration reaches {', '.join(sorted(names))} for {fault.duration_s:g} s")
+        self._unreachable.append(names)
+        self._update_reach()
+        for host in hosts:
+            host.configuration_blocked = True
+        self._later(fault.duration_s, partial(self._end_delay, hosts, names))
+
+    def _end_delay(self, hosts: list[BalancerHost], names: set[str]) -> None:
+        self._unreachable = [kept for kept in self._unreachable if kept is not names]
+        self._update_reach()
+        for host in hosts:
+            host.configuration_blocked = False
+
+
+def hall_of(host: BalancerHost) -> str:
+    """Return the name of the hall a balancer stands in."""
+    location = host.endpoint.location
+    assert location is not None
+    return location.hall
+
+
+def _call(action: Callable[[], None]) -> None:
+    action()
--- /dev/null
+++ b/sloepond/lab/hosting.py
@@ -0,0 +1,46 @@
+"""What the lab needs of a node, so that the core and baselines run alike."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from sloepond.core.commands import Command
+from sloepond.core.events import Event
+from sloepond.core.messages import Member
+from sloepond.core.settings import NodeSettings
+from sloepond.resources.compiled import CompiledConfiguration
+
+
+class InForce(Protocol):
+    """Holds the configuration in force."""
+
+    @property
+    def in_force(self) -> CompiledConfiguration:
+        """The configuration in force; generation 0 for none."""
+
+
+class LabNode(Protocol):
+    """A sans-I/O balancer; `sloepond.core.node.Node` is one."""
+
+    @property
+    def identity(self) -> Member:
+        """Name, incarnation and address it has now."""
+
+    @property
+    def configuration(self) -> InForce:
+        """What configuration it uses."""
+
+    def start(self, now: float) -> list[Command]:
+        """Begin; called once."""
+
+    def handle(self, event: Event, now: float) -> list[Command]:
+        """Take one event."""
+
+    def next_deadline(self) -> float:
+        """Return when a TimerFired event is needed, infinity if never."""
+
+
+NodeFactory = Callable[[Member, NodeSettings, random.Random], LabNode]
+"""Makes the node of one process."""
--- /dev/null
+++ b/sloepond/lab/network.py
@@ -0,0 +1,133 @@
+"""The simulated network: latency, loss, duplication, reordering and partitions."""
+
+from __future__ import annotations
+
+import random
+from heapq import heappush
+from typing import Any
+
+from sloepond.lab.engine import Action, EventQueue
+from sloepond.lab.scenario import NetworkModel
+from sloepond.resources.model import Location
+
+_MILLISECOND = 0.001
+
+
+class Endpoint:
+    """One machine on the network.
+
+    :ivar location: None for the callers, which stand outside the halls.
+    :ivar place: index of its place in the latency table.
+    """
+
+    __slots__ = ("location", "name", "place")
+
+    def __init__(self, name: str, location: Location | None, place: int) -> None:
+        self.name = name
+        self.location = location
+        self.place = place
+
+
+class Network:
+    """Moves datagrams between endpoints by scheduling their delivery.
+
+    :ivar blocked: pairs (sender, receiver) of names that cannot be reached.
+    :ivar dropped: datagrams lost for any reason.
+    """
+
+    def __init__(self, queue: EventQueue, model: NetworkModel, random_source: random.Random) -> None:
+        self._queue = queue
+        self._model = model
+        self._random = random_source
+        self._draw = random_source.random
+        self._locations: list[Location | None] = []
+        self._places: dict[Location | None, int] = {}
+        self._latency: list[list[float]] = []
+        self._jitter = model.jitter
+        self._lifetime = model.lifetime_ms * _MILLISECOND
+        self.blocked: set[tuple[str, str]] = set()
+        self.dropped = 0
+        self._disturbed = False
+        self.disturb(model.loss, model.duplicate, model.reorder)
+
+    def endpoint(self, name: str, location: Location | None) -> Endpoint:
+        """Return a new endpoint."""
+        place = self._places.get(location)
+        if place is None:
+            place = self._add_place(location)
+        return Endpoint(name, location, place)
+
+    def disturb(self, loss: float, duplicate: float, reorder: float) -> None:
+        """Set the shares of datagrams lost, delivered twice and held back."""
+        self._loss = loss
+        self._duplicate = duplicate
+        self._reorder = reorder
+        self._disturbed = bool(loss or duplicate or reorder)
+
+    def reset_disturbance(self) -> None:
+        """Return to the shares of the scenario."""
+        self.disturb(self._model.loss, self._model.duplicate, self._model.reorder)
+
+    def is_blocked(self, source: str, destination: str) -> bool:
+        """Return whether datagrams from `source` do not reach `destination`."""
+        return (source, destination) in self.blocked
+
+    def latency(self, source: Endpoint, destination: Endpoint) -> float:
+        """Return the least one-way time in seconds."""
+        return self._latency[source.place][destination.place]
+
+    def transmit(
+        self,
+        source: Endpoint,
+        destination: Endpoint,
+        action: Action,
+        argument: Any,
+        may_duplicate: bool = True,
+    ) -> None:
+        """Deliver a datagram by calling `action(argument)` later, or lose it.
+
+        :param may_duplicate: False where a copy could not be told from a second
+            sending by any balancer (the last link to a back end).
+        """
+        if self.blocked and (source.name, destination.name) in self.blocked:
+            self.dropped += 1
+            return
+        delay = self._latency[source.place][destination.place] * (1.0 + self._jitter * self._draw())
+        queue = self._queue
+        if self._disturbed:
+            if self._draw() < self._loss:
+                self.dropped += 1
+                return
+            if may_duplicate and self._draw() < self._duplicate:
+                queue.schedule(queue.now + self._held(delay), action, argument)
+            if self._draw() < self._reorder:
+                delay = self._held(delay)
+        queue._sequence = sequence = queue._sequence + 1
+        heappush(queue._heap, (queue.now + delay, sequence, action, argument))
+
+    def _held(self, delay: float) -> float:
+        held = delay + self._draw() * self._model.reorder_ms * _MILLISECOND
+        return min(held, self._lifetime)
+
+    def _add_place(self, location: Location | None) -> int:
+        self._places[location] = len(self._locations)
+        self._locations.append(location)
+        self._latency = [
+            [self._between(first, second) for second in self._locations] for first in self._locations
+        ]
+        return self._places[location]
+
+    def _between(self, first: Location | None, second: Location | None) -> float:
+        return self._between_ms(first, second) * _MILLISECOND
+
+    def _between_ms(self, first: Location | None, second: Location | None) -> float:
+        model = self._model
+        if first is None or second is None:
+            return model.caller_latency_ms
+        if first == second:
+            return model.local_latency_ms
+        if first.region != second.region:
+            return model.region_latency_ms
+        if first.zone != second.zone:
+            return model.zone_latency_ms
+        return model.hall_latency_ms
--- /dev/null
+++ b/sloepond/lab/platform.py
@@ -0,0 +1,64 @@
+"""The platform: a configuration service that can be read, and a list of machines that lags."""
+
+from __future__ import annotations
+
+import collections
+
+import msgspec
+
+from sloepond.core.messages import Member
+from sloepond.resources.model import ConfigurationSnapshot
+
+
+class _MachineChange(msgspec.Struct, frozen=True):
+    at: float
+    name: str
+    member: Member | None
+
+
+class Platform:
+    """What the platform answers at a moment.
+
+    :ivar down: whether reads of the configuration fail.
+    :ivar stale_generations: how many generations old the answer is.
+    :ivar unreachable: names of machines that cannot reach the platform.
+    """
+
+    def __init__(self, machine_list_lag_s: float) -> None:
+        self._lag_s = machine_list_lag_s
+        self._snapshots: list[ConfigurationSnapshot] = []
+        self._changes: collections.deque[_MachineChange] = collections.deque()
+        self._machines: dict[str, Member] = {}
+        self.down = False
+        self.stale_generations = 0
+        self.unreachable: set[str] = set()
+
+    @property
+    def latest(self) -> ConfigurationSnapshot:
+        """The newest generation."""
+        return self._snapshots[-1]
+
+    def publish(self, snapshot: ConfigurationSnapshot) -> None:
+        """Declare a new generation."""
+        self._snapshots.append(snapshot)
+
+    def read(self, machine: str) -> ConfigurationSnapshot | None:
+        """Return what `machine` is answered, None where the read fails."""
+        if self.down or machine in self.unreachable:
+            return None
+        index = max(0, len(self._snapshots) - 1 - self.stale_generations)
+        return self._snapshots[index]
+
+    def machine_changed(self, now: float, name: str, member: Member | None) -> None:
+        """A machine has started, or ended (None)."""
+        self._changes.append(_MachineChange(now, name, member))
+
+    def machines(self, now: float) -> tuple[Member, ...]:
+        """Return the machines as of `machine_list_lag_s` ago, sorted by name."""
+        while self._changes and self._changes[0].at <= now - self._lag_s:
+            change = self._changes.popleft()
+            if change.member is None:
+                self._machines.pop(change.name, None)
+            else:
+                self._machines[change.name] = change.member
+        return tuple(self._machines[name] for name in sorted(self._machines))
--- /dev/null
+++ b/sloepond/lab/result.py
@@ -0,0 +1,91 @@
+"""The outcome of one run."""
+
+from __future__ import annotations
+
+import msgspec
+
+from sloepond.lab.checkers.violations import Violation
+
+
+class Measures(msgspec.Struct, frozen=True):
+    """What one run measured; the one JSON object of `--json`.
+
+    The same scenario, seed and policy give the same values but for `wall_seconds`.
+    """
+
+    flows: int
+    flows_open_peak: int
+    broken_flows: int
+    misrouted_packets: int
+    place_violations: int
+    answers_crossed: int
+    answers_incomplete: int
+    duplicate_executions: int
+    false_not_run: int
+    outcome_unknown: int
+    refused: int
+    imbalance_p50: float
+    imbalance_p99: float
+    new_work_after_drain_seconds: float
+    configuration_in_force_seconds_max: float
+    configuration_reverts: int
+    control_bytes_per_second_max: int
+    control_bytes_per_second_mean: float
+    transfer_bytes_per_second_max: int
+    data_overhead_bytes_per_packet: float
+    simulated_seconds: float
+    wall_seconds: float
+    events: int
+
+
+class BrokenPromise(msgspec.Struct, frozen=True):
+    """A promise that did not hold.
+
+    :ivar name: name of the expectation.
+    :ivar measured: what was measured, and `limit` what was expected at most.
+    :ivar first: the first events that broke it, at most 20.
+    """
+
+    name: str
+    measured: float
+    limit: float
+    first: tuple[Violation, ...]
+
+
+class TimelineEntry(msgspec.Struct, frozen=True):
+    """Something the scenario did; seconds after the cells have formed."""
+
+    at: float
+    text: str
+
+
+class Series(msgspec.Struct, frozen=True):
+    """Values over time for plots, one for each simulated second.
+
+    :ivar in_flight: back end -> requests running or queued.
+    :ivar control_bytes: control bytes sent per balancer.
+    :ivar broken_at: times of broken flows.
+    """
+
+    in_flight: dict[str, list[int]]
+    control_bytes: list[float]
+    broken_at: list[float]
+
+
+class LabResult(msgspec.Struct, frozen=True):
+    """Everything of one run."""
+
+    scenario: str
+    seed: int
+    policy: str
+    measures: Measures
+    broken_promises: tuple[BrokenPromise, ...]
+    timeline: tuple[TimelineEntry, ...]
+    counters: dict[str, int]
+    """Sum of the counters of all balancer processes that ended or ran at the end."""
+    series: Series
+
+    @property
+    def holds(self) -> bool:
+        """Whether every checked promise held."""
+        return not self.broken_promises
--- /dev/null
+++ b/sloepond/lab/runner.py
@@ -0,0 +1,149 @@
+"""Runs one scenario with one seed and one policy, and judges it."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from sloepond.lab.checkers.violations import Promise, Violation
+from sloepond.lab.director import Director
+from sloepond.lab.hosting import NodeFactory
+from sloepond.lab.nodes import factory_for
+from sloepond.lab.random_faults import draw_faults
+from sloepond.lab.result import BrokenPromise, LabResult, Measures, Series
+from sloepond.lab.sampler import Sampler
+from sloepond.lab.scenario import Scenario
+from sloepond.lab.world import World
+
+PROGRESS_STEP_S = 0.5
+_DECIMALS = 4
+
+Progress = Callable[[float, float], None]
+"""Called with the simulated seconds done and those in all."""
+
+
+def run_scenario(
+    scenario: Scenario,
+    seed: int = 1,
+    policy: str = "",
+    progress: Progress | None = None,
+    factory: NodeFactory | None = None,
+) -> LabResult:
+    """Run a scenario to its end.
+
+    :param policy: name of a placement policy, `stateless`, `omniscient` or empty
+        for the default of the settings.
+    :param factory: makes the nodes; None takes what `policy` asks for.
+    :raises ValueError: where the policy is not known.
+    """
+    started = time.perf_counter()
+    run = LabRun(scenario, seed, policy, factory)
+    run.run(progress)
+    return run.result(time.perf_counter() - started)
+
+
+class LabRun:
+    """One run; see `run_scenario`.
+
+    :ivar world: the simulated machines, for tests and tools to look at.
+    """
+
+    def __init__(self, scenario: Scenario, seed: int, policy: str, factory: NodeFactory | None) -> None:
+        self.scenario = scenario
+        self.seed = seed
+        self.policy = policy
+        chosen = factory_for(policy)
+        self.world = World(scenario, seed, factory or chosen.factory, chosen.settings_policy)
+        chosen.connect(self.world)
+        self._sampler = Sampler(self.world)
+        timeline = (*scenario.faults, *draw_faults(scenario, self.world.streams.stream("faults")))
+        Director(self.world).schedule(timeline)
+        self._end = _end_of(scenario)
+
+    def run(self, progress: Progress | None = None) -> None:
+        """Simulate until the end."""
+        self.world.start()
+        self._sampler.start()
+        queue = self.world.queue
+        while queue.now < self._end:
+            queue.run_until(min(self._end, queue.now + PROGRESS_STEP_S))
+            if progress is not None:
+                progress(queue.now, self._end)
+        self.world.collect_all_counters()
+
+    def result(self, wall_seconds: float) -> LabResult:
+        """Return what was measured and which promises broke."""
+        measures = self._measures(wall_seconds)
+        return LabResult(
+            scenario=self.scenario.name,
+            seed=self.seed,
+            policy=self.policy,
+            measures=measures,
+            broken_promises=tuple(self._broken_promises(measures)),
+            timeline=tuple(self.world.timeline),
+            counters=self.world.counters,
+            series=Series(
+                in_flight=self._sampler.in_flight,
+                control_bytes=self._sampler.traffic.control_by_second,
+                broken_at=self.world.flow_checker.broken_at,
+            ),
+        )
+
+    def _measures(self, wall_seconds: float) -> Measures:
+        world = self.world
+        counts = {promise.value: count for promise, count in world.log.counts.items()}
+        traffic = self._sampler.traffic
+        balance = self._sampler.balance
+        packets = world.counters.get("caller_packets", 0)
+        return Measures(
+            flows=world.callers.started,
+            flows_open_peak=world.flow_checker.open_peak,
+            broken_flows=counts[Promise.BROKEN_FLOWS],
+            misrouted_packets=counts[Promise.MISROUTED_PACKETS],
+            place_violations=counts[Promise.PLACE_VIOLATIONS],
+            answers_crossed=counts[Promise.ANSWERS_CROSSED],
+            answers_incomplete=counts[Promise.ANSWERS_INCOMPLETE],
+            duplicate_executions=counts[Promise.DUPLICATE_EXECUTIONS],
+            false_not_run=counts[Promise.FALSE_NOT_RUN],
+            outcome_unknown=counts[Promise.OUTCOME_UNKNOWN],
+            refused=counts[Promise.REFUSED],
+            imbalance_p50=_rounded(balance.percentile(0.5)),
+            imbalance_p99=_rounded(balance.percentile(0.99)),
+            new_work_after_drain_seconds=_rounded(world.place_checker.last_new_work_s),
+            configuration_in_force_seconds_max=_rounded(world.configuration_checker.in_force_seconds),
+            configuration_reverts=counts[Promise.CONFIGURATION_REVERTS],
+            control_bytes_per_second_max=traffic.control_maximum,
+            control_bytes_per_second_mean=_rounded(traffic.control_mean),
+            transfer_bytes_per_second_max=traffic.transfer_maximum,
+            data_overhead_bytes_per_packet=_rounded(traffic.data_bytes / packets if packets else 0.0),
+            simulated_seconds=self._end,
+            wall_seconds=round(wall_seconds, 3),
+            events=world.queue.processed,
+        )
+
+    def _broken_promises(self, measures: Measures) -> list[BrokenPromise]:
+        broken = []
+        expect = self.scenario.expect
+        for name in expect.__struct_fields__:
+            limit = getattr(expect, name)
+            measured = getattr(measures, name)
+            if limit is not None and measured > limit:
+                broken.append(BrokenPromise(name, measured, limit, self._first(name)))
+        return broken
+
+    def _first(self, name: str) -> tuple[Violation, ...]:
+        if name not in set(Promise):
+            return ()
+        form_s = self.scenario.timing.form_s
+        first = self.world.log.first[Promise(name)]
+        return tuple(Violation(item.promise, round(item.at - form_s, 3), item.detail) for item in first)
+
+
+def _end_of(scenario: Scenario) -> float:
+    arrivals = max((load.start_s + load.over_s for load in scenario.load), default=0.0)
+    timing = scenario.timing
+    return timing.form_s + arrivals + timing.settle_s
+
+
+def _rounded(value: float) -> float:
+    return round(value, _DECIMALS)
--- /dev/null
+++ b/sloepond/lab/sampler.py
@@ -0,0 +1,136 @@
+"""Looks at the world at fixed times: configurations, balance, bytes and isolation."""
+
+from __future__ import annotations
+
+from sloepond.lab.balancer import BalancerHost
+from sloepond.lab.checkers.balance import BalanceMeter
+from sloepond.lab.checkers.configuration import BalancerObservation
+from sloepond.lab.checkers.traffic import TrafficMeter
+from sloepond.lab.world import World
+
+CONFIGURATION_INTERVAL_S = 0.1
+SECOND = 1.0
+_NEVER = float("inf")
+
+
+class Sampler:
+    """Samples a world until the end of a run; see the module."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._queue = world.queue
+        self._connected_since: dict[str, float] = {}
+        self._started_using: dict[str, set[int]] = {}
+        self.balance = BalanceMeter()
+        self.traffic = TrafficMeter()
+        self.in_flight: dict[str, list[int]] = {name: [] for name in world.backends}
+
+    def start(self) -> None:
+        """Begin to sample, the balance and bytes once the cells have formed."""
+        self._queue.schedule(self._queue.now + CONFIGURATION_INTERVAL_S, self._look_at_configurations)
+        self._queue.schedule(self._world.scenario.timing.form_s, self._begin_seconds)
+
+    def _begin_seconds(self, _: None) -> None:
+        for host in self._world.balancers.values():
+            host.take_bytes()
+        self._queue.schedule(self._queue.now + SECOND, self._second_ended)
+
+    # Configurations
+
+    def _look_at_configurations(self, _: None) -> None:
+        now = self._queue.now
+        checker = self._world.configuration_checker
+        for host in self._world.running_balancers():
+            assert host.node is not None
+            observation = BalancerObservation(
+                name=host.name,
+                incarnation=host.process,
+                generation=host.node.configuration.in_force.generation,
+                reachable_since=self._reachable_since(host),
+                peer_generation=self._peer_generation(host),
+            )
+            checker.observe(observation, now)
+        self._queue.schedule(now + CONFIGURATION_INTERVAL_S, self._look_at_configurations)
+
+    def _reachable_since(self, host: BalancerHost) -> float:
+        """Return since when the process runs and configurations can reach it."""
+        now = self._queue.now
+        if host.paused or not self._has_way(host):
+            self._connected_since[host.name] = now
+            return _NEVER
+        return max(host.available_since, self._connected_since.get(host.name, 0.0))
+
+    def _peer_generation(self, host: BalancerHost) -> int:
+        """Return what a process that has just put its first generation in force could have heard of."""
+        if host.process in self._started_using.get(host.name, ()):
+            return 0
+        assert host.node is not None
+        if host.node.configuration.in_force.generation:
+            self._started_using.setdefault(host.name, set()).add(host.process)
+        generations = [
+            peer.node.configuration.in_force.generation
+            for peer in self._world.running_balancers()
+            if peer is not host and peer.node is not None and self._hears(host, peer)
+        ]
+        return max(generations, default=0)
+
+    def _hears(self, host: BalancerHost, peer: BalancerHost) -> bool:
+        if peer.cell != host.cell or peer.paused:
+            return False
+        network = self._world.network
+        return not (network.is_blocked(host.name, peer.name) or network.is_blocked(peer.name, host.name))
+
+    def _has_way(self, host: BalancerHost) -> bool:
+        unreachable = self._world.platform.unreachable
+        if host.name not in unreachable:
+            return True
+        if host.configuration_blocked:
+            return False
+        return any(self._connects(host, peer) for peer in self._world.running_balancers())
+
+    def _connects(self, host: BalancerHost, peer: BalancerHost) -> bool:
+        return peer.name not in self._world.platform.unreachable and self._hears(host, peer)
+
+    # Every second
+
+    def _second_ended(self, _: None) -> None:
+        self._sample_traffic()
+        self._sample_balance()
+        self._sample_isolation()
+        self._queue.schedule(self._queue.now + SECOND, self._second_ended)
+
+    def _sample_traffic(self) -> None:
+        control: list[int] = []
+        transfer: list[int] = []
+        data = 0
+        for host in self._world.balancers.values():
+            sent = host.take_bytes()
+            data += sent.data
+            if host.node is not None:
+                control.append(sent.control)
+                transfer.append(sent.transfer)
+        self.traffic.second_ended(control, transfer, data)
+
+    def _sample_balance(self) -> None:
+        world = self._world
+        for name, host in world.backends.items():
+            self.in_flight[name].append(host.model.in_flight if host.model is not None else 0)
+        for service in world.compiled.services_by_name.values():
+            per_slot = []
+            for backend in service.placeable:
+                model = world.backends[backend.name].model
+                if model is not None:
+                    per_slot.append(model.in_flight / backend.slots)
+            self.balance.sample(per_slot)
+
+    def _sample_isolation(self) -> None:
+        world = self._world
+        network = world.network
+        running = [host.name for host in world.running_balancers() if not host.paused]
+        for backend in world.backends.values():
+            reachable = any(
+                not network.is_blocked(name, backend.name) and not network.is_blocked(backend.name, name)
+                for name in running
+            )
+            if not reachable:
+                backend.isolated_at = self._queue.now
--- a/sloepond/resources/__init__.py
+++ b/sloepond/resources/__init__.py
@@ -0,0 +1,1 @@
+"""Declared state: resources, validation and the compiled configuration."""
--- a/sloepond/resources/compiled.py
+++ b/sloepond/resources/compiled.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
-import hashlib
+import bisect
+from collections.abc import Sequence
 
 import msgspec
 
+from sloepond.resources.digest import digest_of, updated_digest
 from sloepond.resources.model import (
     Backend,
     BackendState,
@@ -24,8 +26,17 @@
     ServiceSpec,
     Zone,
 )
+from sloepond.resources.ordered import edited
 
-_ENCODER = msgspec.json.Encoder(order="deterministic")
+INCREMENTAL_LIMIT = 1_000
+"""Changed resources above which a configuration is compiled from the start."""
+
+
+class ResourceKey(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """Identity of a resource; keys sort by kind, then name."""
+
+    kind: str
+    name: str
 
 
 class CompiledBackend(msgspec.Struct, frozen=True):
@@ -60,18 +71,33 @@
     """Back ends that may take new flows: permitted, active, weight above 0."""
 
 
+class ConfigurationChange(msgspec.Struct, frozen=True):
+    """Which back ends differ from an earlier generation.
+
+    :ivar base_generation: the earlier generation.
+    :ivar backends: names of back ends added, changed or removed.
+    """
+
+    base_generation: int
+    backends: tuple[str, ...]
+
+
 class CompiledConfiguration:
     """Index of one generation.
 
     :ivar generation: 0 where nothing is in force yet.
+    :ivar change: what differs from the generation it was updated from; None
+        where it was compiled from the start.
     :ivar services_by_address: virtual address `ip:port` -> service.
     :ivar backends_by_name: name -> back end, of all services.
     :ivar backends_by_address: data address `ip:port` -> back end.
     """
 
     __slots__ = (
+        "_locations",
         "backends_by_address",
         "backends_by_name",
+        "change",
         "digest",
         "generation",
         "services_by_address",
@@ -83,30 +109,26 @@
         self.snapshot = snapshot
         self.generation = snapshot.generation
         self.digest = snapshot.digest
+        self.change: ConfigurationChange | None = None
         self.backends_by_name: dict[str, CompiledBackend] = {}
         self.backends_by_address: dict[str, CompiledBackend] = {}
         self.services_by_address: dict[str, CompiledService] = {}
         self.services_by_name: dict[str, CompiledService] = {}
+        self._locations = resolve_locations(snapshot.resources)
         self._compile(snapshot.resources)
 
     def _compile(self, resources: tuple[Resource, ...]) -> None:
-        locations = resolve_locations(resources)
         declared: dict[str, list[Backend]] = {}
         for resource in resources:
             if isinstance(resource, Backend):
                 declared.setdefault(resource.spec.service, []).append(resource)
         for resource in resources:
             if isinstance(resource, Service):
-                self._add_service(resource, declared.get(resource.metadata.name, []), locations)
+                self._add_service(resource, declared.get(resource.metadata.name, []))
 
-    def _add_service(
-        self,
-        service: Service,
-        declared: list[Backend],
-        locations: dict[str, Location],
-    ) -> None:
+    def _add_service(self, service: Service, declared: list[Backend]) -> None:
         ordered = sorted(declared, key=lambda backend: backend.metadata.name)
-        backends = tuple(_compile_backend(service.spec, backend, locations) for backend in ordered)
+        backends = tuple(_compile_backend(service.spec, backend, self._locations) for backend in ordered)
         compiled = CompiledService(
             name=service.metadata.name,
             address=service.spec.address,
@@ -121,6 +143,106 @@
             self.backends_by_name[backend.name] = backend
             self.backends_by_address[backend.address] = backend
 
+    def updated(
+        self, generation: int, changed: Sequence[Resource], removed: Sequence[ResourceKey]
+    ) -> CompiledConfiguration:
+        """Return the configuration after a change, without touching this one.
+
+        A change of a few back ends costs no encoding, hashing or compiling of
+        the others; any other change compiles all from the start.
+
+        :param generation: number of the new generation.
+        :param changed: resources that are new or differ; at most one of a key.
+        :param removed: keys of resources that are gone; unknown ones are ignored.
+        :raises KeyError: if a back end names a hall that is not declared.
+        """
+        return self.updated_to(
+            updated_snapshot(self.snapshot, generation, changed, removed), changed, removed
+        )
+
+    def updated_to(
+        self,
+        snapshot: ConfigurationSnapshot,
+        changed: Sequence[Resource],
+        removed: Sequence[ResourceKey],
+    ) -> CompiledConfiguration:
+        """Return the configuration of a snapshot that `updated_snapshot` made from this one.
+
+        :raises KeyError: if a back end names a hall that is not declared.
+        """
+        backend_kind = Kind.BACKEND.value
+        only_backends = all(isinstance(resource, Backend) for resource in changed) and all(
+            key.kind == backend_kind for key in removed
+        )
+        if not only_backends or len(changed) + len(removed) > INCREMENTAL_LIMIT:
+            return CompiledConfiguration(snapshot)
+        result = self._copy(snapshot)
+        names = result._update_backends(changed, removed)
+        result.change = ConfigurationChange(self.generation, names)
+        return result
+
+    def _copy(self, snapshot: ConfigurationSnapshot) -> CompiledConfiguration:
+        result = CompiledConfiguration.__new__(CompiledConfiguration)
+        result.snapshot = snapshot
+        result.generation = snapshot.generation
+        result.digest = snapshot.digest
+        result._locations = self._locations
+        result.backends_by_name = self.backends_by_name.copy()
+        result.backends_by_address = self.backends_by_address.copy()
+        result.services_by_address = self.services_by_address.copy()
+        result.services_by_name = self.services_by_name.copy()
+        return result
+
+    def _update_backends(
+        self, changed: Sequence[Resource], removed: Sequence[ResourceKey]
+    ) -> tuple[str, ...]:
+        names = [resource.metadata.name for resource in changed]
+        names.extend(key.name for key in removed)
+        before = [self.backends_by_name[name] for name in names if name in self.backends_by_name]
+        after = self._compile_changed(changed)
+        self._replace_in_indexes(before, after)
+        for service in sorted({backend.service for backend in (*before, *after)}):
+            self._replace_in_service(service, before, after)
+        return tuple(dict.fromkeys(names))
+
+    def _compile_changed(self, changed: Sequence[Resource]) -> list[CompiledBackend]:
+        """Compile back ends whose service is declared; the others have no effect."""
+        compiled = []
+        for resource in changed:
+            if not isinstance(resource, Backend):
+                continue
+            service = self.services_by_name.get(resource.spec.service)
+            if service is not None:
+                compiled.append(_compile_backend(service.spec, resource, self._locations))
+        return compiled
+
+    def _replace_in_indexes(self, before: list[CompiledBackend], after: list[CompiledBackend]) -> None:
+        for backend in before:
+            self.backends_by_name.pop(backend.name, None)
+            self.backends_by_address.pop(backend.address, None)
+        for backend in after:
+            self.backends_by_name[backend.name] = backend
+            self.backends_by_address[backend.address] = backend
+
+    def _replace_in_service(
+        self, name: str, before: list[CompiledBackend], after: list[CompiledBackend]
+    ) -> None:
+        service = self.services_by_name[name]
+        gone = [backend.name for backend in before if backend.service == name]
+        present = [backend for backend in after if backend.service == name]
+        placeable = [backend for backend in present if backend.takes_new_flows]
+        replaced = msgspec.structs.replace(
+            service,
+            backends=edited(service.backends, _backend_name, gone, present),
+            placeable=edited(service.placeable, _backend_name, gone, placeable),
+        )
+        self.services_by_name[name] = replaced
+        self.services_by_address[replaced.address] = replaced
+
+
+def _backend_name(backend: CompiledBackend) -> str:
+    return backend.name
+
 
 def _compile_backend(
     service: ServiceSpec, backend: Backend, locations: dict[str, Location]
@@ -152,9 +274,7 @@
     Halls whose zone is not declared are left out; validation reports them.
     """
     regions = {
-        resource.metadata.name: resource.spec.region
-        for resource in resources
-        if isinstance(resource, Zone)
+        resource.metadata.name: resource.spec.region for resource in resources if isinstance(resource, Zone)
     }
     locations: dict[str, Location] = {}
     for resource in resources:
@@ -167,19 +287,46 @@
     return locations
 
 
-def resource_key(resource: Resource) -> tuple[str, str]:
-    """Return the sort key of a resource: its kind, then its name."""
-    return (type(resource).__name__, resource.metadata.name)
+def resource_key(resource: Resource) -> ResourceKey:
+    """Return the identity of a resource, which is its sort key as well."""
+    return ResourceKey(type(resource).__name__, resource.metadata.name)
 
 
-def make_snapshot(generation: int, resources: list[Resource]) -> ConfigurationSnapshot:
+def make_snapshot(generation: int, resources: Sequence[Resource]) -> ConfigurationSnapshot:
     """Return a snapshot of `resources`, sorted, with its digest.
 
     :param generation: number of the generation, 1 or more.
     """
     ordered = tuple(sorted(resources, key=resource_key))
-    digest = hashlib.blake2b(_ENCODER.encode(ordered), digest_size=16).hexdigest()
-    return ConfigurationSnapshot(generation=generation, digest=digest, resources=ordered)
+    return ConfigurationSnapshot(generation=generation, digest=digest_of(ordered), resources=ordered)
+
+
+def updated_snapshot(
+    base: ConfigurationSnapshot,
+    generation: int,
+    changed: Sequence[Resource],
+    removed: Sequence[ResourceKey],
+) -> ConfigurationSnapshot:
+    """Return the snapshot after a change; only what changed is hashed.
+
+    :param changed: resources that are new or differ; at most one of a key.
+    :param removed: keys of resources that are gone; unknown ones are ignored.
+    """
+    keys = {*removed, *map(resource_key, changed)}
+    former = [resource for key in keys if (resource := find_resource(base.resources, key)) is not None]
+    return ConfigurationSnapshot(
+        generation=generation,
+        digest=updated_digest(base.digest, added=changed, removed=former),
+        resources=edited(base.resources, resource_key, keys, changed),
+    )
+
+
+def find_resource(resources: Sequence[Resource], key: ResourceKey) -> Resource | None:
+    """Return the resource of a key among resources sorted by key, None if there is none."""
+    position = bisect.bisect_left(resources, key, key=resource_key)
+    if position < len(resources) and resource_key(resources[position]) == key:
+        return resources[position]
+    return None
 
 
 EMPTY_CONFIGURATION = CompiledConfiguration(make_snapshot(0, []))
@@ -190,9 +337,13 @@
     "CompiledBackend",
     "CompiledConfiguration",
     "CompiledService",
+    "ConfigurationChange",
     "Kind",
+    "ResourceKey",
+    "find_resource",
     "is_place_permitted",
     "make_snapshot",
     "resolve_locations",
     "resource_key",
+    "updated_snapshot",
 ]
--- /dev/null
+++ b/sloepond/resources/ordered.py
@@ -0,0 +1,39 @@
+"""Edits of sorted tuples that touch only what changes."""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, TypeVar
+
+Item = TypeVar("Item")
+
+BULK_LIMIT = 1_000
+"""Edits above which the whole is sorted anew rather than edited in place."""
+
+
+def edited(
+    ordered: Sequence[Item],
+    key_of: Callable[[Item], Any],
+    removed: Iterable[Any],
+    added: Sequence[Item],
+) -> tuple[Item, ...]:
+    """Return `ordered` without the items of some keys and with others put in.
+
+    :param ordered: items sorted by key, each key once.
+    :param key_of: returns the key of an item.
+    :param removed: keys to take out; unknown ones are ignored.
+    :param added: items to put in; an item of the same key is replaced.
+    """
+    gone = {*removed, *map(key_of, added)}
+    if len(gone) > BULK_LIMIT:
+        kept = [item for item in ordered if key_of(item) not in gone]
+        return tuple(sorted([*kept, *added], key=key_of))
+    items = list(ordered)
+    for key in gone:
+        position = bisect.bisect_left(items, key, key=key_of)
+        if position < len(items) and key_of(items[position]) == key:
+            del items[position]
+    for item in added:
+        bisect.insort_left(items, item, key=key_of)
+    return tuple(items)
--- a/sloepond/runtime/__init__.py
+++ b/sloepond/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: sockets, clock, platform reader, probes and logs around the core."""
--- /dev/null
+++ b/sloepond/runtime/activity.py
@@ -0,0 +1,30 @@
+"""Whether a balancer is busy with more than its routine.
+
+An idle balancer wakes for heartbeats, probes and polls only.  These need no
+precise timers, so the daemon then lets timers coalesce; each wake of an idle
+process costs more than the work it does.
+"""
+
+from __future__ import annotations
+
+from sloepond.core.events import (
+    BackendProbed,
+    ConfigurationReadUnchanged,
+    Event,
+    MachineListRead,
+    PeerMessageReceived,
+    TimerFired,
+)
+from sloepond.core.messages import Heartbeat
+
+ACTIVE_S = 2.0
+"""Time after an event that is no routine during which timers are precise, in seconds."""
+
+_ROUTINE_EVENTS = frozenset({BackendProbed, ConfigurationReadUnchanged, MachineListRead, TimerFired})
+
+
+def is_routine(event: Event) -> bool:
+    """Return whether an idle balancer gets this event too."""
+    if isinstance(event, PeerMessageReceived):
+        return isinstance(event.message, Heartbeat)
+    return type(event) in _ROUTINE_EVENTS
--- /dev/null
+++ b/sloepond/runtime/command_writer.py
@@ -0,0 +1,95 @@
+"""Carrying out the node's commands without waiting."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+
+from sloepond.core.commands import (
+    Command,
+    CompleteStop,
+    ProbeBackend,
+    ReadConfiguration,
+    ReadMachineList,
+    RecordTransition,
+    SendToBackend,
+    SendToCaller,
+    SendToPeer,
+    TransitionKind,
+)
+from sloepond.runtime.packet_sender import PacketSender
+from sloepond.runtime.platform_reader import PlatformReader
+from sloepond.runtime.probing import ProbeDriver
+
+_WARNINGS = frozenset(
+    {
+        TransitionKind.LEASE_LOST,
+        TransitionKind.MEMBER_SUSPECTED,
+        TransitionKind.CONFIGURATION_REJECTED,
+        TransitionKind.CONFIGURATION_SERVICE_DOWN,
+        TransitionKind.BACKEND_EJECTED,
+        TransitionKind.STALL_DETECTED,
+    }
+)
+
+
+class CommandWriter:
+    """Carries out commands.
+
+    :param clock: returns seconds of the node's clock.
+    :param complete_stop: ends the daemon.
+    """
+
+    def __init__(
+        self,
+        sender: PacketSender,
+        reader: PlatformReader,
+        probes: ProbeDriver,
+        logger: logbook.Logger,
+        clock: Callable[[], float],
+        complete_stop: Callable[[], None],
+    ) -> None:
+        self._sender = sender
+        self._probes = probes
+        self._logger = logger
+        self._clock = clock
+        self._complete_stop = complete_stop
+        self._writers: dict[type, Callable[[Any], None]] = {
+            SendToCaller: self._send_to_caller,
+            SendToBackend: self._send_to_backend,
+            SendToPeer: self._send_to_peer,
+            ReadConfiguration: reader.read_configuration,
+            ReadMachineList: reader.read_machine_list,
+            ProbeBackend: self._probe,
+            RecordTransition: self._record_transition,
+            CompleteStop: self._end,
+        }
+
+    def write(self, command: Command) -> None:
+        """Carry out one command.
+
+        :raises Exception: where it cannot be encoded or addressed; the
+            dispatcher counts that.
+        """
+        self._writers[type(command)](command)
+
+    def _send_to_caller(self, command: SendToCaller) -> None:
+        self._sender.send_to_caller(command.reply)
+
+    def _send_to_backend(self, command: SendToBackend) -> None:
+        self._sender.send_to_backend(command.address, command.packet)
+
+    def _send_to_peer(self, command: SendToPeer) -> None:
+        self._sender.send_to_peer(command.address, command.message)
+
+    def _probe(self, command: ProbeBackend) -> None:
+        self._probes.start(command, self._clock())
+
+    def _record_transition(self, command: RecordTransition) -> None:
+        log = self._logger.warning if command.kind in _WARNINGS else self._logger.info
+        log("{}", command.detail, extra={"kind": command.kind.value, "subject": command.subject})
+
+    def _end(self, command: CompleteStop) -> None:
+        self._complete_stop()
--- /dev/null
+++ b/sloepond/runtime/datagram_socket.py
@@ -0,0 +1,87 @@
+"""A non-blocking UDP socket that is drained in batches and never waits to send."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+
+import trio
+
+from sloepond.runtime.addresses import SocketAddress, address_family, parse_address
+
+BATCH_DATAGRAMS = 64
+"""Datagrams read after one wait, so that no socket starves the others."""
+
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+"""Kernel buffer asked for; the kernel grants what its own limit allows."""
+
+
+class DatagramSocket:
+    """A bound UDP socket.
+
+    :param address: `ip:port` to bind to.
+    :param maximum_bytes: largest datagram taken; one byte more is read, so that
+        the decoder sees that it is oversized.
+    :ivar received: datagrams read.
+    :ivar sent: datagrams handed to the kernel.
+    :ivar send_dropped: datagrams dropped since the kernel's buffer was full.
+    :ivar send_failed: datagrams the kernel refused for another reason.
+    :raises OSError: where the address cannot be bound.
+    """
+
+    def __init__(self, address: str, maximum_bytes: int) -> None:
+        self.received = 0
+        self.sent = 0
+        self.send_dropped = 0
+        self.send_failed = 0
+        self._maximum_bytes = maximum_bytes
+        socket_address = parse_address(address)
+        self._socket = socket.socket(address_family(socket_address), socket.SOCK_DGRAM)
+        try:
+            self._socket.setblocking(False)
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            self._socket.bind(socket_address)
+        except OSError:
+            self._socket.close()
+            raise
+
+    @property
+    def local_address(self) -> SocketAddress:
+        """Host and port the socket is bound to."""
+        name = self._socket.getsockname()
+        return (name[0], name[1])
+
+    def fileno(self) -> int:
+        """Return the file descriptor."""
+        return self._socket.fileno()
+
+    async def wait_readable(self) -> None:
+        """Wait until a datagram can be read."""
+        await trio.lowlevel.wait_readable(self._socket)
+
+    def receive_batch(self) -> Iterator[tuple[bytes, SocketAddress]]:
+        """Yield datagrams that are there already, with their source, at most 64."""
+        receive = self._socket.recvfrom
+        size = self._maximum_bytes + 1
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                received = receive(size)
+            except OSError:
+                return
+            self.received += 1
+            yield received
+
+    def send(self, datagram: bytes, address: SocketAddress) -> None:
+        """Send without waiting; a datagram that cannot be sent is counted and dropped."""
+        try:
+            self._socket.sendto(datagram, address)
+        except BlockingIOError:
+            self.send_dropped += 1
+        except OSError:
+            self.send_failed += 1
+        else:
+            self.sent += 1
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
--- /dev/null
+++ b/sloepond/runtime/dispatcher.py
@@ -0,0 +1,106 @@
+"""Hands events to the node and its commands to the writer; never raises."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+import logbook
+
+from sloepond.core.commands import Command, SendToBackend
+from sloepond.core.events import Event
+from sloepond.runtime.activity import ACTIVE_S, is_routine
+from sloepond.runtime.balancer_node import BalancerNode
+
+MAXIMUM_HANDLING_S = 0.5
+"""Time after which packets to back ends are stale and dropped, in seconds.
+
+A process that was paused between deciding and sending has lost its lease
+meanwhile; what it decided is recorded, so the drop counts as a lost packet.
+"""
+
+
+@dataclasses.dataclass(slots=True)
+class DispatchCounters:
+    """What the dispatcher counts; each field only grows."""
+
+    events: int = 0
+    commands: int = 0
+    commands_stale: int = 0
+
+
+class Dispatcher:
+    """Runs the node.
+
+    :param clock: returns seconds; the node's clock.
+    :param write: carries out one command.
+    """
+
+    def __init__(
+        self,
+        node: BalancerNode,
+        clock: Callable[[], float],
+        write: Callable[[Command], None],
+        logger: logbook.Logger,
+    ) -> None:
+        self.counters = DispatchCounters()
+        self._node = node
+        self._clock = clock
+        self._write = write
+        self._logger = logger
+        self._active_until = clock() + ACTIVE_S
+        self._logged_failures: set[tuple[type, type]] = set()
+
+    def is_idle(self) -> bool:
+        """Return whether there were only routine events for a while."""
+        return self._clock() > self._active_until
+
+    def start(self) -> None:
+        """Start the node."""
+        self.carry_out(self._node.start(self._clock()))
+
+    def dispatch(self, event: Event) -> None:
+        """Hand over one event and carry out what the node asks for."""
+        now = self._clock()
+        self.counters.events += 1
+        if not is_routine(event):
+            self._active_until = now + ACTIVE_S
+        try:
+            commands = self._node.handle(event, now)
+        except Exception as error:
+            self._record_failure(type(event), error)
+            return
+        if self._clock() - now > MAXIMUM_HANDLING_S:
+            commands = self._without_stale(commands)
+        self.carry_out(commands)
+
+    def carry_out(self, commands: list[Command]) -> None:
+        """Carry out commands in order; one that fails does not stop the others."""
+        self.counters.commands += len(commands)
+        write = self._write
+        for command in commands:
+            try:
+                write(command)
+            except Exception as error:
+                self._record_failure(type(command), error)
+
+    def _without_stale(self, commands: list[Command]) -> list[Command]:
+        kept: list[Command] = []
+        for command in commands:
+            if not isinstance(command, SendToBackend):
+                kept.append(command)
+        self.counters.commands_stale += len(commands) - len(kept)
+        return kept
+
+    def _record_failure(self, subject: type, error: Exception) -> None:
+        """Count a failure; the first one of each kind is logged with its traceback."""
+        self._node.counters.handler_failures += 1
+        kind = (subject, type(error))
+        if kind in self._logged_failures:
+            return
+        self._logged_failures.add(kind)
+        self._logger.error(
+            "handler failed; later failures of this kind are only counted",
+            extra={"kind": "handler-failure", "subject": subject.__name__},
+            exc_info=(type(error), error, error.__traceback__),
+        )
--- /dev/null
+++ b/sloepond/runtime/pipeline.py
@@ -0,0 +1,98 @@
+"""One node on three sockets, without tasks: datagrams and time in, datagrams out."""
+
+from __future__ import annotations
+
+import random
+import secrets
+from collections.abc import Callable
+
+import logbook
+
+from sloepond.core.events import TimerFired
+from sloepond.core.messages import Member
+from sloepond.runtime.balancer_node import BalancerNode
+from sloepond.runtime.clock import monotonic_seconds, new_incarnation
+from sloepond.runtime.command_writer import CommandWriter
+from sloepond.runtime.datagram_socket import DatagramSocket
+from sloepond.runtime.dispatcher import Dispatcher
+from sloepond.runtime.packet_sender import DaemonSockets, PacketSender
+from sloepond.runtime.platform_reader import PlatformReader
+from sloepond.runtime.probing import KeepaliveProbeDriver
+from sloepond.runtime.receiver import Receiver
+from sloepond.runtime.settings import BalancerSettings
+from sloepond.runtime.settings_rules import read_key_ring
+from sloepond.runtime.traffic import TrafficMeter
+from sloepond.wire.authentication import Authenticator
+
+RANDOM_SEED_BITS = 128
+
+NodeFactory = Callable[[Member, BalancerSettings, random.Random], BalancerNode]
+
+
+class Pipeline:
+    """Everything between the sockets and the node.
+
+    :param make_node: makes the node.
+    :param reader: carries out reads of the platform.
+    :param complete_stop: called when the node has completed a planned stop.
+    :ivar node: the core.
+    :ivar sockets: their counters tell of dropped datagrams.
+    :ivar traffic: bytes exchanged with peers.
+    :ivar authenticator: takes other keys at any time.
+    :ivar dispatcher: its counters tell of events and stale commands.
+    :raises OSError: where an address cannot be bound.
+    """
+
+    def __init__(
+        self,
+        settings: BalancerSettings,
+        make_node: NodeFactory,
+        logger: logbook.Logger,
+        reader: PlatformReader,
+        complete_stop: Callable[[], None],
+    ) -> None:
+        identity = Member(settings.name, new_incarnation(), settings.peer_address, settings.location)
+        self.node = make_node(identity, settings, random.Random(secrets.randbits(RANDOM_SEED_BITS)))
+        self.traffic = TrafficMeter()
+        self.authenticator = Authenticator(
+            read_key_ring(settings.keys), identity.name, identity.incarnation, identity.address
+        )
+        self.sockets = DaemonSockets(settings)
+        sender = PacketSender(
+            self.node, self.sockets, self.authenticator, self.traffic, settings.fabric_address
+        )
+        self._probes = KeepaliveProbeDriver(
+            settings.backend_address, settings.node.health.probe_timeout_s, sender.send_to_backend
+        )
+        writer = CommandWriter(sender, reader, self._probes, logger, monotonic_seconds, complete_stop)
+        self.dispatcher = Dispatcher(self.node, monotonic_seconds, writer.write, logger)
+        self._receiver = Receiver(
+            self.node.counters, self.authenticator, self.traffic, self._probes, self.dispatcher.dispatch
+        )
+        self._takers = {
+            self.sockets.edge: self._receiver.take_from_edge,
+            self.sockets.backend: self._receiver.take_from_backend,
+            self.sockets.peer: self._receiver.take_from_peer,
+        }
+
+    def drain(self, source: DatagramSocket) -> int:
+        """Take a batch of datagrams that are there already; return how many there were."""
+        take = self._takers[source]
+        count = 0
+        for datagram, address in source.receive_batch():
+            take(datagram, address)
+            count += 1
+        return count
+
+    def next_deadline(self) -> float:
+        """Return when `on_time` is next needed, in seconds of the monotonic clock."""
+        return min(self.node.next_deadline(), self._probes.next_deadline())
+
+    def on_time(self) -> None:
+        """Do what is due."""
+        now = monotonic_seconds()
+        self.traffic.sample(now)
+        for probed in self._probes.on_time(now):
+            self.dispatcher.dispatch(probed)
+        if self.node.next_deadline() <= now:
+            self.dispatcher.dispatch(TimerFired())
--- /dev/null
+++ b/sloepond/runtime/platform_reader.py
@@ -0,0 +1,88 @@
+"""Carries out the node's reads of the platform, one of each kind at a time."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable
+
+import trio
+
+from sloepond.core.commands import ReadConfiguration, ReadMachineList
+from sloepond.core.events import (
+    ConfigurationRead,
+    ConfigurationReadFailed,
+    ConfigurationReadUnchanged,
+    Event,
+    MachineListRead,
+)
+from sloepond.resources.model import ConfigurationSnapshot
+from sloepond.runtime.platform_client import NotModified, PlatformClient, ReadFailure
+
+MAXIMUM_WAITING_READS = 1
+NO_PLATFORM = "no platform is named in the settings"
+
+
+class PlatformReader:
+    """Starts reads without waiting and reports what they gave as events.
+
+    A read asked for while another of its kind waits is answered by that one.
+
+    :param client: None where the settings name no platform.
+    :ivar machine_list_failures: reads of the machine list that gave nothing; the
+        list is only a hint, so they are counted and not reported to the node.
+    """
+
+    def __init__(self, client: PlatformClient | None) -> None:
+        self._client = client
+        self._send_configuration, self._wanted_configurations = trio.open_memory_channel[ReadConfiguration](
+            MAXIMUM_WAITING_READS
+        )
+        self._send_machine_list, self._wanted_machine_lists = trio.open_memory_channel[ReadMachineList](
+            MAXIMUM_WAITING_READS
+        )
+        self.machine_list_failures = 0
+
+    def read_configuration(self, command: ReadConfiguration) -> None:
+        """Start a read, unless one waits already."""
+        with contextlib.suppress(trio.WouldBlock):
+            self._send_configuration.send_nowait(command)
+
+    def read_machine_list(self, command: ReadMachineList) -> None:
+        """Start a read, unless one waits already."""
+        with contextlib.suppress(trio.WouldBlock):
+            self._send_machine_list.send_nowait(command)
+
+    async def run(self, dispatch: Callable[[Event], None]) -> None:
+        """Carry out reads until cancelled.
+
+        :param dispatch: takes what the reads gave.
+        """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._run_configuration, dispatch)
+            nursery.start_soon(self._run_machine_list, dispatch)
+
+    async def _run_configuration(self, dispatch: Callable[[Event], None]) -> None:
+        async for command in self._wanted_configurations:
+            if self._client is None:
+                dispatch(ConfigurationReadFailed(NO_PLATFORM))
+                continue
+            result = await self._client.read_configuration(command.known_generation)
+            dispatch(_configuration_event(result))
+
+    async def _run_machine_list(self, dispatch: Callable[[Event], None]) -> None:
+        async for _ in self._wanted_machine_lists:
+            if self._client is None:
+                continue
+            result = await self._client.read_machine_list()
+            if isinstance(result, ReadFailure):
+                self.machine_list_failures += 1
+            else:
+                dispatch(MachineListRead(result))
+
+
+def _configuration_event(result: ConfigurationSnapshot | NotModified | ReadFailure) -> Event:
+    if isinstance(result, ReadFailure):
+        return ConfigurationReadFailed(result.reason)
+    if isinstance(result, NotModified):
+        return ConfigurationReadUnchanged()
+    return ConfigurationRead(result)
--- /dev/null
+++ b/sloepond/runtime/receiver.py
@@ -0,0 +1,95 @@
+"""Turning datagrams into events; what cannot be taken is counted and dropped."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from sloepond.core.counters import Counters
+from sloepond.core.events import (
+    BackendReplyReceived,
+    CallerPacketReceived,
+    Event,
+    PeerMessageReceived,
+)
+from sloepond.runtime.addresses import SocketAddress, format_address
+from sloepond.runtime.probing import ProbeDriver, is_probe_reply
+from sloepond.runtime.traffic import TrafficMeter
+from sloepond.wire.authentication import Authenticator
+from sloepond.wire.codec import decode_message
+from sloepond.wire.edge import decode_backend_reply, decode_caller_packet
+from sloepond.wire.failures import (
+    INCARNATION_OLD,
+    OVERSIZED,
+    REPLAYED,
+    AuthenticationFailure,
+    DecodeFailure,
+)
+
+
+class Receiver:
+    """Takes datagrams of the three sockets.
+
+    :param dispatch: takes the event of a valid datagram.
+    """
+
+    def __init__(
+        self,
+        counters: Counters,
+        authenticator: Authenticator,
+        traffic: TrafficMeter,
+        probes: ProbeDriver,
+        dispatch: Callable[[Event], None],
+    ) -> None:
+        self._counters = counters
+        self._authenticator = authenticator
+        self._traffic = traffic
+        self._probes = probes
+        self._dispatch = dispatch
+
+    def take_from_edge(self, datagram: bytes, source: SocketAddress) -> None:
+        """Take a caller's datagram that came through the fabric."""
+        packet = decode_caller_packet(datagram)
+        if isinstance(packet, DecodeFailure):
+            self._count_decode_failure(packet)
+            return
+        self._dispatch(CallerPacketReceived(packet))
+
+    def take_from_backend(self, datagram: bytes, source: SocketAddress) -> None:
+        """Take a back end's datagram."""
+        reply = decode_backend_reply(datagram)
+        if isinstance(reply, DecodeFailure):
+            self._count_decode_failure(reply)
+            return
+        address = format_address(source)
+        if not is_probe_reply(reply):
+            self._dispatch(BackendReplyReceived(address, reply))
+            return
+        probed = self._probes.take_reply(address, reply)
+        if probed is not None:
+            self._dispatch(probed)
+
+    def take_from_peer(self, datagram: bytes, source: SocketAddress) -> None:
+        """Take another balancer's datagram."""
+        address = format_address(source)
+        opened = self._authenticator.open(datagram, address)
+        if isinstance(opened, AuthenticationFailure):
+            self._count_authentication_failure(opened)
+            return
+        message = decode_message(opened.body)
+        if isinstance(message, DecodeFailure):
+            self._count_decode_failure(message)
+            return
+        self._traffic.record_received(message, len(datagram))
+        self._dispatch(PeerMessageReceived(opened.sender, opened.incarnation, address, message))
+
+    def _count_decode_failure(self, failure: DecodeFailure) -> None:
+        if failure is OVERSIZED:
+            self._counters.input_oversized += 1
+        else:
+            self._counters.input_malformed += 1
+
+    def _count_authentication_failure(self, failure: AuthenticationFailure) -> None:
+        if failure is REPLAYED or failure is INCARNATION_OLD:
+            self._counters.input_replayed += 1
+        else:
+            self._counters.input_unauthenticated += 1
--- /dev/null
+++ b/sloepond/runtime/settings_file.py
@@ -0,0 +1,113 @@
+"""Reading the settings file, with flags that override it."""
+
+from __future__ import annotations
+
+import pathlib
+import tomllib
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from sloepond.resources.findings import FieldPath, Finding, format_path
+from sloepond.runtime.settings import BalancerSettings
+from sloepond.runtime.settings_rules import check_rules
+from sloepond.runtime.structure import FieldFinding, StructureReader
+
+FLAGS = "flags"
+"""Source named in findings about a value that a flag gave."""
+
+
+class SettingsOverride(msgspec.Struct, frozen=True):
+    """A value given by a flag, for the field at `path`."""
+
+    path: tuple[str, ...]
+    value: object
+
+
+class CheckedSettings(msgspec.Struct, frozen=True):
+    """Settings, or None and the findings that say why not."""
+
+    settings: BalancerSettings | None
+    findings: tuple[Finding, ...]
+
+
+def load_settings(file: pathlib.Path, overrides: tuple[SettingsOverride, ...] = ()) -> CheckedSettings:
+    """Read and check a settings file.
+
+    :param overrides: values of flags, put over those of the file.
+    :returns: settings without findings, or every finding.
+    """
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return CheckedSettings(None, (Finding(str(file), 0, 0, "", f"cannot be read: {error}"),))
+    return check_settings(text, str(file), overrides)
+
+
+def check_settings(text: str, source: str, overrides: tuple[SettingsOverride, ...] = ()) -> CheckedSettings:
+    """Check the text of a settings file.
+
+    :param source: name put into findings.
+    """
+    try:
+        document = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        return CheckedSettings(None, (Finding(source, 0, 0, "", f"not TOML: {error}"),))
+    for override in overrides:
+        _override(document, override)
+    reader = StructureReader()
+    settings = reader.read_struct(document, BalancerSettings, ())
+    findings = reader.findings + _new_findings(reader.findings, settings)
+    if findings:
+        overridden = {override.path for override in overrides}
+        return CheckedSettings(None, tuple(_place(finding, source, overridden) for finding in findings))
+    return CheckedSettings(settings, ())
+
+
+def _new_findings(known: list[FieldFinding], settings: BalancerSettings) -> list[FieldFinding]:
+    """Return what breaks a rule, except in fields that are known to be wrong."""
+    wrong = {finding.path for finding in known}
+    broken = check_rules(settings) + _check_files(settings)
+    return [finding for finding in broken if not _is_inside(finding.path, wrong)]
+
+
+def _is_inside(path: FieldPath, wrong: set[FieldPath]) -> bool:
+    return any(path[:length] in wrong for length in range(len(path) + 1))
+
+
+def _override(document: dict[str, Any], override: SettingsOverride) -> None:
+    table = document
+    for step in override.path[:-1]:
+        inner = table.setdefault(step, {})
+        if not isinstance(inner, dict):
+            return
+        table = inner
+    table[override.path[-1]] = override.value
+
+
+def _place(finding: FieldFinding, source: str, overridden: set[tuple[str, ...]]) -> Finding:
+    file = FLAGS if finding.path in overridden else source
+    return Finding(file, 0, 0, format_path(finding.path), finding.reason)
+
+
+def _check_files(settings: BalancerSettings) -> list[FieldFinding]:
+    """Return a finding for each named file that cannot be opened."""
+    paths: Mapping[FieldPath, str] = {
+        ("api", "tls_certificate"): settings.api.tls_certificate,
+        ("api", "tls_key"): settings.api.tls_key,
+        ("platform", "ca_file"): settings.platform.ca_file,
+    }
+    findings = []
+    for field, path in paths.items():
+        if path and not _is_readable(path):
+            findings.append(FieldFinding(field, "the file cannot be read"))
+    return findings
+
+
+def _is_readable(path: str) -> bool:
+    try:
+        with open(path, "rb"):
+            return True
+    except OSError:
+        return False
--- /dev/null
+++ b/sloepond/standins/backend_model.py
@@ -0,0 +1,318 @@
+"""A back end without I/O: packets and time in, replies out.
+
+The model runs every request it accepts and does not compare requests with each
+other, so a request handed over twice is executed twice and `executions` shows it.
+"""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import random
+
+import msgspec
+
+from sloepond.core.packets import (
+    BackendPacket,
+    BackendReply,
+    BackendReplyKind,
+    CallerPacketKind,
+    FlowKey,
+    LoadReport,
+)
+from sloepond.standins.backend_record import BackendCounters, BackendOutput, Execution
+from sloepond.standins.content import (
+    FEED_PAYLOAD,
+    NOT_HEALTHY_PAYLOAD,
+    AnswerContent,
+    BackendIdentity,
+    PushContent,
+    answer_body,
+    encode_content,
+)
+from sloepond.standins.feed_schedule import FeedSchedule
+
+PROBE_SERVICE_ADDRESS = "probe"
+"""Service address in the flow key of a health probe."""
+
+_NEVER = float("inf")
+
+
+class BackendSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Behaviour of one back end.
+
+    :ivar slots: requests run at the same time.
+    :ivar connections: flows held at the same time.
+    :ivar queue: requests that may wait for a slot; more are shed.
+    :ivar service_s: mean time a request runs, in seconds.
+    :ivar service_spread: the time is drawn evenly within this share of the mean.
+    :ivar part_bytes: payload bytes of one part of an answer.
+    :ivar push_interval_s: time between items of a feed, in seconds.
+    :ivar cold_s: time after the start during which requests run slower.
+    :ivar cold_factor: how many times slower requests run at the start.
+    :ivar load_lag_s: age a reported load may have, in seconds.
+    :ivar load_factor: multiplies the reported load; 0 claims to be idle.
+    """
+
+    slots: int = 2
+    connections: int = 2_000
+    queue: int = 16
+    service_s: float = 0.02
+    service_spread: float = 0.5
+    part_bytes: int = 1_000
+    push_interval_s: float = 0.2
+    cold_s: float = 0.0
+    cold_factor: float = 4.0
+    load_lag_s: float = 0.0
+    load_factor: float = 1.0
+
+
+class _HeldFlow(msgspec.Struct):
+    """A flow, the address it was last heard from and the requests it started."""
+
+    address: str
+    started: set[int] = msgspec.field(default_factory=set)
+
+
+class _WaitingRequest(msgspec.Struct, frozen=True):
+    """An accepted request; `deadline` is the last moment it may start."""
+
+    packet: BackendPacket
+    source: str
+    deadline: float
+
+
+class BackendModel:
+    """State of one back end.
+
+    :ivar executions: every request that was started, in order.
+    :ivar draining: whether new flows are refused.
+    """
+
+    def __init__(
+        self, identity: BackendIdentity, settings: BackendSettings, random_source: random.Random
+    ) -> None:
+        self.identity = identity
+        self.settings = settings
+        self.draining = False
+        self.counters = BackendCounters()
+        self.executions: list[Execution] = []
+        self._random = random_source
+        self._identity_payload = encode_content(identity)
+        self._flows: dict[FlowKey, _HeldFlow] = {}
+        self._waiting: collections.deque[_WaitingRequest] = collections.deque()
+        self._running: list[tuple[float, int, _WaitingRequest]] = []
+        self._feeds = FeedSchedule()
+        self._started_at: float | None = None
+        self._load = LoadReport(0, 0)
+        self._load_sampled_at = -_NEVER
+
+    @property
+    def flows(self) -> int:
+        """Flows held open."""
+        return len(self._flows)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests running or waiting."""
+        return len(self._running) + len(self._waiting)
+
+    def holds(self, flow: FlowKey) -> bool:
+        """Return whether `flow` is held open."""
+        return flow in self._flows
+
+    def next_deadline(self) -> float:
+        """Return when `on_time` is next needed, infinity if never."""
+        finish = self._running[0][0] if self._running else _NEVER
+        return min(finish, self._feeds.next_deadline())
+
+    def on_time(self, now: float) -> list[BackendOutput]:
+        """Finish requests, start waiting ones and push feeds that are due."""
+        outputs: list[BackendOutput] = []
+        while self._running and self._running[0][0] <= now:
+            _, number, request = heapq.heappop(self._running)
+            self._answer(request, number, now, outputs)
+        self._start_waiting(now, outputs)
+        self._push_due(now, outputs)
+        return outputs
+
+    def handle(self, packet: BackendPacket, source: str, now: float) -> list[BackendOutput]:
+        """Take one packet that came from `source` and return the replies.
+
+        :param source: address `ip:port` of the balancer.
+        :param now: seconds on the back end's clock.
+        """
+        if self._started_at is None:
+            self._started_at = now
+        self.counters.packets += 1
+        outputs = self.on_time(now)
+        if packet.flow.service_address == PROBE_SERVICE_ADDRESS:
+            self._answer_probe(packet, source, now, outputs)
+        elif packet.kind is CallerPacketKind.OPEN:
+            self._open(packet, source, now, outputs)
+        elif packet.flow in self._flows:
+            self._handle_held(packet, source, now, outputs)
+        elif packet.kind is not CallerPacketKind.CLOSE:
+            self.counters.flow_unknown += 1
+            self._reply(BackendReplyKind.FLOW_UNKNOWN, packet, source, now, outputs)
+        return outputs
+
+    def _handle_held(
+        self, packet: BackendPacket, source: str, now: float, outputs: list[BackendOutput]
+    ) -> None:
+        self._flows[packet.flow].address = source
+        if packet.kind is CallerPacketKind.REQUEST:
+            self._accept(packet, source, now, outputs)
+        elif packet.kind is CallerPacketKind.CANCEL:
+            self._cancel(packet, source, now, outputs)
+        elif packet.kind is CallerPacketKind.CLOSE:
+            self._flows.pop(packet.flow)
+            self._feeds.unsubscribe(packet.flow)
+        else:
+            self._reply(BackendReplyKind.ALIVE, packet, source, now, outputs, self._identity_payload)
+
+    def _answer_probe(
+        self, packet: BackendPacket, source: str, now: float, outputs: list[BackendOutput]
+    ) -> None:
+        payload = NOT_HEALTHY_PAYLOAD if self.draining else b""
+        self._reply(BackendReplyKind.ALIVE, packet, source, now, outputs, payload)
+
+    def _open(self, packet: BackendPacket, source: str, now: float, outputs: list[BackendOutput]) -> None:
+        held = self._flows.get(packet.flow)
+        if held is not None:
+            held.address = source
+        elif self.draining or len(self._flows) >= self.settings.connections:
+            self.counters.open_refused += 1
+            self._reply(BackendReplyKind.REFUSED, packet, source, now, outputs)
+            return
+        else:
+            self.counters.opened += 1
+            self._flows[packet.flow] = _HeldFlow(address=source)
+        self._reply(BackendReplyKind.OPENED, packet, source, now, outputs, self._identity_payload)
+
+    def _accept(self, packet: BackendPacket, source: str, now: float, outputs: list[BackendOutput]) -> None:
+        has_slot = len(self._running) < self.settings.slots
+        if not has_slot and len(self._waiting) >= self.settings.queue:
+            self.counters.shed += 1
+            self._reply(BackendReplyKind.REFUSED, packet, source, now, outputs)
+            return
+        deadline = now + packet.timeout_ms / 1000 if packet.timeout_ms else _NEVER
+        self._waiting.append(_WaitingRequest(packet, source, deadline))
+        self._start_waiting(now, outputs)
+
+    def _start_waiting(self, now: float, outputs: list[BackendOutput]) -> None:
+        while self._waiting and len(self._running) < self.settings.slots:
+            request = self._waiting.popleft()
+            if request.deadline < now:
+                self.counters.deadline_passed += 1
+                self._reply(BackendReplyKind.REFUSED, request.packet, request.source, now, outputs)
+                continue
+            self._start(request, now)
+
+    def _start(self, request: _WaitingRequest, now: float) -> None:
+        self.counters.executed += 1
+        number = self.counters.executed
+        packet = request.packet
+        held = self._flows.get(packet.flow)
+        if held is not None:
+            held.started.add(packet.request_id)
+        self.executions.append(
+            Execution(
+                backend=self.identity.name,
+                number=number,
+                flow=packet.flow,
+                request_id=packet.request_id,
+                attempt=packet.attempt,
+                payload=packet.payload,
+                started_at=now,
+            )
+        )
+        heapq.heappush(self._running, (now + self._service_time(now), number, request))
+
+    def _service_time(self, now: float) -> float:
+        settings = self.settings
+        spread = settings.service_s * settings.service_spread
+        duration = settings.service_s + self._random.uniform(-spread, spread)
+        age = now - (self._started_at if self._started_at is not None else now)
+        if age >= settings.cold_s:
+            return duration
+        coldness = 1 - age / settings.cold_s
+        return duration * (1 + (settings.cold_factor - 1) * coldness)
+
+    def _answer(
+        self, request: _WaitingRequest, number: int, now: float, outputs: list[BackendOutput]
+    ) -> None:
+        packet = request.packet
+        body = answer_body(packet.flow, packet.request_id, number, packet.payload)
+        content = AnswerContent(self.identity, packet.flow, packet.request_id, number, body)
+        encoded = encode_content(content)
+        size = self.settings.part_bytes
+        pieces = [encoded[start : start + size] for start in range(0, len(encoded), size)]
+        load = self._load_report(now)
+        for part, piece in enumerate(pieces):
+            reply = BackendReply(
+                kind=BackendReplyKind.ANSWER,
+                flow=packet.flow,
+                request_id=packet.request_id,
+                attempt=packet.attempt,
+                part=part,
+                parts=len(pieces),
+                payload=piece,
+                load=load,
+            )
+            outputs.append(BackendOutput(request.source, reply))
+        if packet.payload == FEED_PAYLOAD and packet.flow in self._flows:
+            self._feeds.subscribe(packet.flow, packet.request_id, now + self.settings.push_interval_s)
+
+    def _push_due(self, now: float, outputs: list[BackendOutput]) -> None:
+        for item in self._feeds.take_due(now, self.settings.push_interval_s):
+            self.counters.pushes += 1
+            content = PushContent(self.identity, item.flow, item.sequence)
+            reply = BackendReply(
+                kind=BackendReplyKind.PUSH,
+                flow=item.flow,
+                request_id=item.request_id,
+                payload=encode_content(content),
+                load=self._load_report(now),
+            )
+            outputs.append(BackendOutput(self._flows[item.flow].address, reply))
+
+    def _cancel(self, packet: BackendPacket, source: str, now: float, outputs: list[BackendOutput]) -> None:
+        kept = [item for item in self._waiting if not _is_same_request(item.packet, packet)]
+        if len(kept) == len(self._waiting):
+            return
+        self.counters.cancelled += len(self._waiting) - len(kept)
+        self._waiting = collections.deque(kept)
+        if packet.request_id in self._flows[packet.flow].started:
+            return
+        self._reply(BackendReplyKind.CANCELLED, packet, source, now, outputs)
+
+    def _reply(
+        self,
+        kind: BackendReplyKind,
+        packet: BackendPacket,
+        destination: str,
+        now: float,
+        outputs: list[BackendOutput],
+        payload: bytes = b"",
+    ) -> None:
+        reply = BackendReply(
+            kind=kind,
+            flow=packet.flow,
+            request_id=packet.request_id,
+            attempt=packet.attempt,
+            payload=payload,
+            load=self._load_report(now),
+        )
+        outputs.append(BackendOutput(destination, reply))
+
+    def _load_report(self, now: float) -> LoadReport:
+        if now - self._load_sampled_at >= self.settings.load_lag_s:
+            factor = self.settings.load_factor
+            self._load = LoadReport(round(self.in_flight * factor), round(self.flows * factor))
+            self._load_sampled_at = now
+        return self._load
+
+
+def _is_same_request(one: BackendPacket, other: BackendPacket) -> bool:
+    return one.request_id == other.request_id and one.flow == other.flow
