--- /dev/null
+++ b/sloepond/standins/caller_model.py
@@ -0,0 +1,321 @@
+"""One flow of a caller without I/O: replies and time in, packets out.
+
+The caller opens its flow, sends the requests of its plan, retransmits, joins
+the parts of answers and checks each one.  What it was told and what it found
+wrong is recorded in `CallerFlow.record` for a checker to compare with the
+executions of the back ends.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import ClassVar
+
+from sloepond.core.packets import (
+    CallerPacket,
+    CallerPacketKind,
+    CallerReply,
+    CallerReplyKind,
+    FlowKey,
+    Reason,
+)
+from sloepond.standins.caller_plan import CallerSettings, FlowPlan, RequestPlan
+from sloepond.standins.caller_record import (
+    BreakReason,
+    FlowRecord,
+    FlowState,
+    RequestOutcome,
+    RequestRecord,
+)
+from sloepond.standins.content import (
+    FEED_PAYLOAD,
+    BackendIdentity,
+    decode_answer,
+    decode_identity,
+    decode_push,
+    is_own_answer,
+)
+from sloepond.standins.liveness import Liveness
+from sloepond.standins.pending_request import PendingRequest, Retransmission, first_transmission
+
+_NEVER = float("inf")
+
+
+_FINISHED_STATES = frozenset({FlowState.CLOSED, FlowState.REFUSED, FlowState.UNOPENED, FlowState.BROKEN})
+
+
+class CallerFlow:
+    """One flow of a caller.
+
+    :ivar record: what became of the flow and its requests.
+    """
+
+    def __init__(self, flow: FlowKey, service: str, plan: FlowPlan, settings: CallerSettings) -> None:
+        """Prepare a flow to `service`, the name its back ends must give."""
+        self.record = FlowRecord(flow=flow, service=service)
+        self._flow = flow
+        self._plan = plan
+        self._settings = settings
+        self._opening = Retransmission(_NEVER, settings.retransmit_s, _NEVER)
+        self._liveness = Liveness(settings)
+        self._pending: dict[int, PendingRequest] = {}
+        self._next_plan = 0
+        self._next_request_at = _NEVER
+        self._close_at = _NEVER
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether the flow sends nothing more."""
+        return self.record.state in _FINISHED_STATES
+
+    def start(self, now: float) -> list[CallerPacket]:
+        """Open the flow."""
+        self.record.state = FlowState.OPENING
+        self._opening = first_transmission(now, self._settings)
+        return [CallerPacket(kind=CallerPacketKind.OPEN, flow=self._flow)]
+
+    def close(self, now: float) -> list[CallerPacket]:
+        """End the flow now; requests in progress are abandoned."""
+        if self.is_finished:
+            return []
+        state = FlowState.CLOSED if self.record.state is FlowState.ESTABLISHED else FlowState.UNOPENED
+        self._finish(state, now)
+        return [CallerPacket(kind=CallerPacketKind.CLOSE, flow=self._flow)]
+
+    def next_deadline(self) -> float:
+        """Return when `on_time` is next needed, infinity if never."""
+        if self.is_finished:
+            return _NEVER
+        if self.record.state is FlowState.OPENING:
+            return min(self._opening.due, self._opening.give_up_at)
+        deadlines = [pending.next_deadline() for pending in self._pending.values()]
+        if self._may_send():
+            deadlines.append(self._next_request_at)
+        return min(self._close_at, self._liveness.next_deadline(), *deadlines)
+
+    def on_time(self, now: float) -> list[CallerPacket]:
+        """Do all that is due: retransmit, give up, send, keep alive, close."""
+        if self.is_finished:
+            return []
+        if self.record.state is FlowState.OPENING:
+            return self._on_time_opening(now)
+        self._check_liveness(now)
+        packets: list[CallerPacket] = []
+        for request_id in list(self._pending):
+            self._on_time_request(request_id, now, packets)
+        return packets + self._on_time_established(now)
+
+    def _on_time_established(self, now: float) -> list[CallerPacket]:
+        if self.is_finished:
+            return []
+        packets: list[CallerPacket] = []
+        self._send_due(now, packets)
+        if self._liveness.is_keepalive_due(now):
+            self._liveness.keepalive_sent(now)
+            packets.append(CallerPacket(kind=CallerPacketKind.KEEPALIVE, flow=self._flow))
+        if now >= self._close_at and not self._pending:
+            packets += self.close(now)
+        return packets
+
+    def handle(self, reply: CallerReply, now: float) -> list[CallerPacket]:
+        """Take one reply of this flow and return the packets it leads to."""
+        if reply.flow != self._flow:
+            return []
+        self._note_contradiction(reply)
+        if self.is_finished:
+            return []
+        self._liveness.reply_received()
+        handler = self._HANDLERS.get(reply.kind)
+        if handler is not None:
+            handler(self, reply, now)
+        return self.on_time(now) if self.next_deadline() <= now else []
+
+    # Opening
+
+    def _on_time_opening(self, now: float) -> list[CallerPacket]:
+        if now >= self._opening.give_up_at:
+            self._finish(FlowState.UNOPENED, now)
+            return []
+        if now < self._opening.due:
+            return []
+        self._opening.next_attempt(now, self._settings)
+        return [CallerPacket(kind=CallerPacketKind.OPEN, flow=self._flow, attempt=self._opening.attempt)]
+
+    def _handle_opened(self, reply: CallerReply, now: float) -> None:
+        self._note_backend(decode_identity(reply.payload), now)
+        if self.record.state is not FlowState.OPENING:
+            return
+        self.record.state = FlowState.ESTABLISHED
+        self.record.opened_at = now
+        self._liveness.flow_established(now)
+        self._schedule_next(now)
+
+    # Requests
+
+    def _may_send(self) -> bool:
+        return self._next_plan < len(self._plan.requests) and len(self._pending) < self._settings.window
+
+    def _schedule_next(self, now: float) -> None:
+        if self._next_plan < len(self._plan.requests):
+            self._next_request_at = now + self._plan.requests[self._next_plan].pause_s
+        elif not self._pending:
+            self._next_request_at = _NEVER
+            self._close_at = now + self._plan.hold_s
+
+    def _send_due(self, now: float, packets: list[CallerPacket]) -> None:
+        while self._may_send() and now >= self._next_request_at:
+            plan = self._plan.requests[self._next_plan]
+            self._next_plan += 1
+            packets.append(self._send_request(plan, now))
+            self._schedule_next(now)
+
+    def _send_request(self, plan: RequestPlan, now: float) -> CallerPacket:
+        record = RequestRecord(request_id=len(self.record.requests) + 1, plan=plan, started_at=now)
+        self.record.requests.append(record)
+        cancel_at = _NEVER if plan.cancel_after_s is None else now + plan.cancel_after_s
+        pending = PendingRequest(record, first_transmission(now, self._settings), cancel_at)
+        self._pending[record.request_id] = pending
+        return pending.packet(self._flow, now)
+
+    def _on_time_request(self, request_id: int, now: float, packets: list[CallerPacket]) -> None:
+        pending = self._pending.get(request_id)
+        if pending is None:
+            return
+        if now >= pending.timing.give_up_at:
+            self._give_up(pending, now)
+            return
+        if now >= pending.cancel_at:
+            pending.cancel(now)
+        if now >= pending.timing.due:
+            pending.timing.next_attempt(now, self._settings)
+            pending.record.attempts += 1
+            packets.append(pending.packet(self._flow, now))
+
+    def _give_up(self, pending: PendingRequest, now: float) -> None:
+        if pending.record.reason is not Reason.NONE:
+            self._end_request(pending, RequestOutcome.UNKNOWN, now)
+        elif pending.cancelled:
+            self._end_request(pending, RequestOutcome.ABANDONED, now)
+        else:
+            self._end_request(pending, RequestOutcome.SILENT, now)
+            self._break(BreakReason.SILENT, now)
+
+    def _end_request(self, pending: PendingRequest, outcome: RequestOutcome, now: float) -> None:
+        record = pending.record
+        record.outcome = outcome
+        record.ended_at = now
+        self._pending.pop(record.request_id, None)
+        self._schedule_next(now)
+
+    def _handle_answer(self, reply: CallerReply, now: float) -> None:
+        pending = self._pending.get(reply.request_id)
+        joined = pending.add_part(reply) if pending else None
+        if pending is not None and joined is not None:
+            self._check_answer(pending, joined, now)
+
+    def _check_answer(self, pending: PendingRequest, joined: bytes, now: float) -> None:
+        record = pending.record
+        content = decode_answer(joined)
+        if content is None or not is_own_answer(content, self._flow, record.request_id, record.plan.payload):
+            self._end_request(pending, RequestOutcome.WRONG, now)
+            return
+        record.execution = content.execution
+        if record.plan.payload == FEED_PAYLOAD:
+            self._liveness.feed_subscribed(now)
+        self._end_request(pending, RequestOutcome.ANSWERED, now)
+        self._note_backend(content.backend, now)
+
+    def _handle_refused(self, reply: CallerReply, now: float) -> None:
+        if self.record.state is FlowState.OPENING and reply.request_id == 0:
+            self.record.reason = reply.reason
+            self._finish(FlowState.REFUSED, now)
+            return
+        pending = self._pending.get(reply.request_id)
+        if pending is not None:
+            pending.record.reason = reply.reason
+            self._end_request(pending, RequestOutcome.REFUSED, now)
+
+    def _handle_unknown(self, reply: CallerReply, now: float) -> None:
+        pending = self._pending.get(reply.request_id)
+        if pending is None:
+            return
+        pending.record.reason = reply.reason
+        if reply.retry_after_ms == 0:
+            self._end_request(pending, RequestOutcome.UNKNOWN, now)
+            return
+        pending.timing.due = now + reply.retry_after_ms / 1000
+
+    def _note_contradiction(self, reply: CallerReply) -> None:
+        """Record a refusal or an answer that comes after the other for the same request."""
+        if not 1 <= reply.request_id <= len(self.record.requests):
+            return
+        record = self.record.requests[reply.request_id - 1]
+        if reply.kind is CallerReplyKind.REFUSED:
+            record.told_refused = True
+        elif reply.kind is CallerReplyKind.ANSWER and record.told_refused:
+            self.record.answered_after_refusal += 1
+
+    # Feeds, keepalives and the end of the flow
+
+    def _handle_push(self, reply: CallerReply, now: float) -> None:
+        content = decode_push(reply.payload)
+        if content is None or content.flow != self._flow:
+            self.record.misrouted += 1
+            return
+        self._liveness.feed_item_received(now)
+        self.record.feed_items += 1
+        missed = content.sequence - self.record.feed_sequence - 1
+        if missed >= 0:
+            self.record.feed_gaps += missed
+            self.record.feed_sequence = content.sequence
+        self._note_backend(content.backend, now)
+
+    def _handle_alive(self, reply: CallerReply, now: float) -> None:
+        self._note_backend(decode_identity(reply.payload), now)
+
+    def _handle_flow_lost(self, reply: CallerReply, now: float) -> None:
+        self.record.reason = reply.reason
+        if self.record.state is FlowState.OPENING:
+            self._finish(FlowState.REFUSED, now)
+        else:
+            self._break(BreakReason.LOST, now)
+
+    def _check_liveness(self, now: float) -> None:
+        reason = self._liveness.break_reason(now)
+        if reason is not BreakReason.NONE:
+            self._break(reason, now)
+
+    def _note_backend(self, identity: BackendIdentity | None, now: float) -> None:
+        if identity is None:
+            return
+        if identity.service != self.record.service:
+            self.record.misrouted += 1
+            return
+        if not self.record.backend:
+            self.record.backend = identity.name
+        elif self.record.backend != identity.name:
+            self._break(BreakReason.BACKEND_CHANGED, now)
+
+    def _break(self, reason: BreakReason, now: float) -> None:
+        if self.is_finished:
+            return
+        self.record.break_reason = reason
+        self.record.broken_at = now
+        self._finish(FlowState.BROKEN, now)
+
+    def _finish(self, state: FlowState, now: float) -> None:
+        self.record.state = state
+        for pending in self._pending.values():
+            pending.record.outcome = RequestOutcome.ABANDONED
+            pending.record.ended_at = now
+        self._pending.clear()
+
+    _HANDLERS: ClassVar[dict[CallerReplyKind, Callable[[CallerFlow, CallerReply, float], None]]] = {
+        CallerReplyKind.OPENED: _handle_opened,
+        CallerReplyKind.ANSWER: _handle_answer,
+        CallerReplyKind.REFUSED: _handle_refused,
+        CallerReplyKind.UNKNOWN: _handle_unknown,
+        CallerReplyKind.PUSH: _handle_push,
+        CallerReplyKind.FLOW_LOST: _handle_flow_lost,
+        CallerReplyKind.ALIVE: _handle_alive,
+    }
--- /dev/null
+++ b/sloepond/standins/feed_schedule.py
@@ -0,0 +1,72 @@
+"""When a stand-in back end pushes the next item of each feed."""
+
+from __future__ import annotations
+
+import heapq
+
+import msgspec
+
+from sloepond.core.packets import FlowKey
+
+_NEVER = float("inf")
+
+
+class FeedItem(msgspec.Struct, frozen=True):
+    """An item to push now.
+
+    :ivar request_id: request that subscribed the flow.
+    :ivar sequence: number of the item, from 1.
+    """
+
+    flow: FlowKey
+    request_id: int
+    sequence: int
+
+
+class _Feed(msgspec.Struct):
+    """A subscribed flow; `number` names its present entry in the schedule."""
+
+    request_id: int
+    number: int = 0
+    pushed: int = 0
+
+
+class FeedSchedule:
+    """Subscribed flows and the time of their next items, in seconds."""
+
+    def __init__(self) -> None:
+        self._feeds: dict[FlowKey, _Feed] = {}
+        self._schedule: list[tuple[float, int, FlowKey]] = []
+        self._number = 0
+
+    def subscribe(self, flow: FlowKey, request_id: int, first_at: float) -> None:
+        """Push items to `flow` from `first_at` on; a second subscription changes nothing."""
+        if flow not in self._feeds:
+            self._feeds[flow] = _Feed(request_id)
+            self._add(flow, first_at)
+
+    def unsubscribe(self, flow: FlowKey) -> None:
+        """Push nothing more to `flow`."""
+        self._feeds.pop(flow, None)
+
+    def next_deadline(self) -> float:
+        """Return when the next item is due, infinity if never."""
+        return self._schedule[0][0] if self._schedule else _NEVER
+
+    def take_due(self, now: float, interval_s: float) -> list[FeedItem]:
+        """Return the items due by `now` and schedule the following ones."""
+        items: list[FeedItem] = []
+        while self.next_deadline() <= now:
+            _, number, flow = heapq.heappop(self._schedule)
+            feed = self._feeds.get(flow)
+            if feed is None or feed.number != number:
+                continue
+            feed.pushed += 1
+            items.append(FeedItem(flow, feed.request_id, feed.pushed))
+            self._add(flow, now + interval_s)
+        return items
+
+    def _add(self, flow: FlowKey, due: float) -> None:
+        self._number += 1
+        self._feeds[flow].number = self._number
+        heapq.heappush(self._schedule, (due, self._number, flow))
--- /dev/null
+++ b/sloepond/standins/pending_request.py
@@ -0,0 +1,79 @@
+"""A request a stand-in caller waits for: retransmissions and parts of the answer."""
+
+from __future__ import annotations
+
+import msgspec
+
+from sloepond.core.packets import CallerPacket, CallerPacketKind, CallerReply, FlowKey
+from sloepond.standins.caller_plan import CallerSettings
+from sloepond.standins.caller_record import RequestRecord
+
+_NEVER = float("inf")
+
+
+class Retransmission(msgspec.Struct):
+    """When a packet is sent again and given up; times in seconds."""
+
+    due: float
+    interval_s: float
+    give_up_at: float
+    attempt: int = 0
+
+    def next_attempt(self, now: float, settings: CallerSettings) -> None:
+        """Count an attempt and set the time of the next one."""
+        self.attempt += 1
+        self.interval_s = min(self.interval_s * settings.retransmit_factor, settings.retransmit_maximum_s)
+        self.due = now + self.interval_s
+
+
+def first_transmission(now: float, settings: CallerSettings) -> Retransmission:
+    """Return the timing of a packet that is sent for the first time."""
+    return Retransmission(now + settings.retransmit_s, settings.retransmit_s, now + settings.patience_s)
+
+
+class PendingRequest(msgspec.Struct):
+    """A request in progress.
+
+    :ivar cancel_at: when it is cancelled.
+    :ivar cancelled: whether retransmissions ask for the end of the request.
+    :ivar parts: payloads received, by attempt and part.
+    """
+
+    record: RequestRecord
+    timing: Retransmission
+    cancel_at: float
+    cancelled: bool = False
+    parts: dict[int, dict[int, bytes]] = msgspec.field(default_factory=dict)
+
+    def next_deadline(self) -> float:
+        """Return when something is next to be done."""
+        return min(self.timing.due, self.timing.give_up_at, self.cancel_at)
+
+    def cancel(self, now: float) -> None:
+        """Make the next packet a cancellation, due at once."""
+        self.cancel_at = _NEVER
+        self.cancelled = True
+        self.timing.due = now
+
+    def packet(self, flow: FlowKey, now: float) -> CallerPacket:
+        """Return the packet of the present attempt."""
+        plan = self.record.plan
+        return CallerPacket(
+            kind=CallerPacketKind.CANCEL if self.cancelled else CallerPacketKind.REQUEST,
+            flow=flow,
+            request_id=self.record.request_id,
+            attempt=self.timing.attempt,
+            repeatable=plan.repeatable,
+            timeout_ms=max(1, int((self.timing.give_up_at - now) * 1000)),
+            payload=plan.payload,
+        )
+
+    def add_part(self, reply: CallerReply) -> bytes | None:
+        """Keep a part; return the joined answer once one attempt is whole."""
+        if not 0 <= reply.part < reply.parts:
+            return None
+        parts = self.parts.setdefault(reply.attempt, {})
+        parts[reply.part] = reply.payload
+        if len(parts) < reply.parts:
+            return None
+        return b"".join(parts[index] for index in sorted(parts))
--- a/sloepond/wire/__init__.py
+++ b/sloepond/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding of packets and messages, and authentication of peers' datagrams, without I/O."""
