--- a/features/membership/membership.feature
+++ b/features/membership/membership.feature
@@ -12,8 +12,11 @@
     Then all membership processes share one view of 1 members and hold the lease
 
   Scenario: Membership forms no cell without a majority of the bootstrap members
-    Given a membership cell of 5 processes of which 2 are started
-    When the membership cell runs for 30 seconds
+    Given a membership cell of 5 processes
+    When the membership process "b2" crashes
+    And the membership process "b3" crashes
+    And the membership process "b4" crashes
+    And the membership cell runs for 30 seconds
     Then no membership process has a view or the lease
 
   Scenario: Membership evicts a crashed process
@@ -21,7 +24,7 @@
     When the membership process "b0" crashes
     And the membership cell runs for 5 seconds
     Then all membership processes share one view of 8 members and hold the lease
-    And the membership cell has not sent the view to those who accepted it
+    And the membership cell has sent the whole view to at most 4 members
 
   Scenario: Membership lets a process leave
     Given a formed membership cell of 9 processes
@@ -41,7 +44,7 @@
   Scenario: Membership lets the last process leave
     Given a formed membership cell of 1 processes
     When the membership process "b0" asks to leave
-    Then the membership process "b0" has completed its leave
+    Then all membership processes have completed their leave
 
   Scenario: Membership lets all processes leave at once and keeps one to the last
     Given a formed membership cell of 3 processes
@@ -59,7 +62,7 @@
 
   Scenario: Membership joins by the machine list alone
     Given a formed membership cell of 3 processes
-    When a membership process "z0" starts without seeds and reads the machine list
+    When a membership process "z0" starts without seeds
     And the membership cell runs for 3 seconds
     Then all membership processes share one view of 4 members and hold the lease
 
@@ -96,13 +99,13 @@
     Given a formed membership cell of 16 processes
     When a membership process "z0" starts
     And the membership cell runs for 10 seconds
-    Then the membership process "z0" is still joining
+    Then the membership process "z0" is in state joining
 
   Scenario: Membership ignores processes of other cells
     Given a formed membership cell of 3 processes
     When a membership process "z0" of another cell starts
     And the membership cell runs for 10 seconds
-    Then the membership process "z0" is still joining
+    Then the membership process "z0" is in state joining
     And no membership view was decided since
 
   Scenario: Membership does not admit a process that hears nobody
@@ -110,7 +113,7 @@
     When the membership process "z0" becomes deaf
     And a membership process "z0" starts
     And the membership cell runs for 10 seconds
-    Then the membership process "z0" is still joining
+    Then the membership process "z0" is in state joining
     And no membership view was decided since
 
   Scenario: Membership does not admit an incarnation that was evicted before
@@ -200,7 +203,7 @@
     And the membership cell runs for 10 seconds
     And a membership process "z0" starts
     And the membership cell runs for 3 seconds
-    Then the membership process "z0" is a member
+    Then the membership process "z0" is in state active
 
   Scenario: Membership does not evict anyone at 10 percent loss
     Given a formed membership cell of 9 processes
--- a/features/steps/membership_cell.py
+++ b/features/steps/membership_cell.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from sloepond.core.commands import Command, SendToPeer
+from sloepond.core.commands import Command, ReadMachineList, SendToPeer
 from sloepond.core.context import NEVER, NodeContext
 from sloepond.core.membership.membership import HeartbeatContent, Membership
 from sloepond.core.membership.pacing import pace_for
@@ -106,6 +106,9 @@
     def carry_out(self, process, command: Command):
         if not isinstance(command, SendToPeer):
             self.transitions.append((self.now, process.context.identity.name, command))
+            if isinstance(command, ReadMachineList):
+                machines = tuple(other.context.identity for other in self.processes.values())
+                process.membership.machine_list_read(machines)
             return
         process.bytes_sent += len(msgspec.msgpack.encode(command.message)) + HEADER_BYTES
         self.sent[type(command.message)] += 1
--- a/sloepond/cli/lab.py
+++ b/sloepond/cli/lab.py
@@ -153,6 +153,7 @@
     table = Table("measure", "value", box=None)
     for name in outcome.measures.__struct_fields__:
         table.add_row(name, str(getattr(outcome.measures, name)))
+    table.add_row("(flows cut off by faults)", str(outcome.flows_cut))
     Console().print(table)
 
 
--- a/sloepond/core/membership/bootstrap.py
+++ b/sloepond/core/membership/bootstrap.py
@@ -3,6 +3,11 @@
 A process waits one lease and the clock margin after its start before it takes
 part.  Leases of an earlier cell that rested on echoes of its former incarnation
 are over by then.
+
+A process that hears of an existing view never forms a cell.  One danger remains:
+if a majority of the bootstrap members restart at the same time and can reach no
+member of the cell that still lives, they form a second cell.  Operators therefore
+list all first members of a cell, and start replacements without the list.
 """
 
 from __future__ import annotations
--- a/sloepond/core/packets.py
+++ b/sloepond/core/packets.py
@@ -97,6 +97,8 @@
 class CallerReply(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One datagram to a caller.
 
+    :ivar attempt: number that all parts of one answer share.
+
     :ivar part: index from 0 of this part of the answer, of `parts` in all.
     :ivar retry_after_ms: when to come back, for REFUSED, UNKNOWN and FLOW_LOST.
     """
@@ -115,6 +117,9 @@
 class BackendPacket(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One datagram to a back end.
 
+    :ivar attempt: for a REQUEST, a number drawn for this run of it; the parts of
+        the answer carry it, so that answers of two runs are not mixed.
+
     :ivar timeout_ms: milliseconds left; a back end must not start the request
         after that.
     """
--- a/sloepond/core/requests/pending.py
+++ b/sloepond/core/requests/pending.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sloepond.core.packets import BackendReply, CallerPacket, FlowKey
+from sloepond.core.packets import BackendReply, CallerPacket, FlowKey, Reason
 from sloepond.core.routing.flow_table import Flow
 
 NOT_RECEIVED = float("-inf")
@@ -33,9 +33,11 @@
     :ivar packet: the latest copy from the caller.
     :ivar deadline: seconds of the node's clock after which the caller is gone.
     :ivar is_claimed: whether a majority has granted the request id to this balancer.
+    :ivar refusal_reason: why it is being refused, in stage REFUSING.
     :ivar leased_until: end of the lease under which the request id was claimed.
     :ivar first_copy_at: when the copy with attempt 0 came, `NOT_RECEIVED` if not.
     :ivar hand_overs: times the request was sent to the back end.
+    :ivar runs: parts of the answer by run number and part.
     :ivar refusals: times the back end said that it has not run it.
     """
 
@@ -47,13 +49,13 @@
     stage: RequestStage = RequestStage.CONFIRMING
     is_claimed: bool = False
     is_cancelled: bool = False
+    refusal_reason: Reason = Reason.NONE
     leased_until: float = 0.0
     first_copy_at: float = NOT_RECEIVED
     handed_at: float = 0.0
     hand_overs: int = 0
     refusals: int = 0
-    part_attempt: int = 0
-    parts: dict[int, BackendReply] = {}
+    runs: dict[int, dict[int, BackendReply]] = {}
 
     @property
     def key(self) -> tuple[FlowKey, int]:
@@ -66,14 +68,14 @@
         return self.hand_overs > self.refusals
 
     def take_part(self, reply: BackendReply) -> bool:
-        """Keep one part of the answer; return whether the answer is whole now.
+        """Keep one part of an answer; return whether that answer is whole now.
 
-        Parts of different attempts are never mixed.
+        Parts of different runs of the request are never mixed.
         """
-        if reply.attempt != self.part_attempt:
-            if reply.attempt < self.part_attempt:
-                return False
-            self.part_attempt = reply.attempt
-            self.parts = {}
-        self.parts[reply.part] = reply
-        return len(self.parts) == reply.parts
+        parts = self.runs.setdefault(reply.attempt, {})
+        parts[reply.part] = reply
+        return len(parts) == reply.parts
+
+    def parts_received(self) -> list[BackendReply]:
+        """Return the parts of all runs received so far."""
+        return [part for parts in self.runs.values() for part in parts.values()]
--- a/sloepond/core/routing/router.py
+++ b/sloepond/core/routing/router.py
@@ -41,6 +41,7 @@
 from sloepond.core.routing.state import RoutingState
 from sloepond.core.routing.sweep import FlowSweep
 from sloepond.core.routing.synchronization import PartitionSynchronizer
+from sloepond.core.routing.takeover import OWN_KEEPALIVE_ID, FlowTakeover
 from sloepond.core.routing.transfer import FlowTransfer
 from sloepond.resources.compiled import CompiledBackend
 
@@ -57,7 +58,8 @@
         self._search = BackendSearch(state)
         self._opener = FlowOpener(state, self._replicator, self._lookup)
         self.transfer = FlowTransfer(state)
-        self._synchronizer = PartitionSynchronizer(state, self.transfer)
+        self._takeover = FlowTakeover(state)
+        self._synchronizer = PartitionSynchronizer(state, self.transfer, self._takeover.partition_completed)
         self.requests = RequestHandler(state, self._replicator, self._lookup, self._synchronizer)
         self._sweep = FlowSweep(state, self.transfer)
         self._waiting: dict[FlowKey, list[CallerPacket]] = {}
@@ -286,7 +288,8 @@
         elif kind is BackendReplyKind.PUSH:
             self._pass_on(CallerReplyKind.PUSH, reply)
         elif kind is BackendReplyKind.ALIVE:
-            self._pass_on(CallerReplyKind.ALIVE, reply)
+            if reply.request_id != OWN_KEEPALIVE_ID:
+                self._pass_on(CallerReplyKind.ALIVE, reply)
         elif kind is BackendReplyKind.FLOW_UNKNOWN:
             self._flow_unknown(partition, flow, reply)
         elif reply.request_id:
@@ -310,7 +313,7 @@
 
     def _flow_unknown(self, partition: int, flow: Flow | None, reply: BackendReply) -> None:
         """Look for the back end that holds a flow which its own back end does not know."""
-        if flow is None:
+        if flow is None or reply.request_id == OWN_KEEPALIVE_ID:
             return
         pending = self.requests.backend_lost(flow, reply.request_id)
         key = flow.key
--- a/sloepond/core/routing/synchronization.py
+++ b/sloepond/core/routing/synchronization.py
@@ -61,12 +61,25 @@
 
 
 class PartitionSynchronizer:
-    """Synchronizes the partitions this balancer is the first replica of."""
+    """Synchronizes the partitions this balancer is the first replica of.
 
-    __slots__ = ("_answered", "_due", "_is_stepping", "_round_epoch", "_state", "_tasks", "_transfer")
+    :param completed: called with each partition that has become complete here.
+    """
 
-    def __init__(self, state: RoutingState, transfer: FlowTransfer) -> None:
+    __slots__ = (
+        "_answered",
+        "_completed",
+        "_due",
+        "_is_stepping",
+        "_round_epoch",
+        "_state",
+        "_tasks",
+        "_transfer",
+    )
+
+    def __init__(self, state: RoutingState, transfer: FlowTransfer, completed: Callable[[int], None]) -> None:
         self._state = state
+        self._completed = completed
         self._transfer = transfer
         self._tasks: dict[int, _Task] = {}
         self._due: deque[int] = deque()
@@ -266,6 +279,7 @@
         )
         if is_covered or self._accept_loss(task):
             state.complete_epochs[task.partition] = state.ring.epoch
+            self._completed(task.partition)
             self._wake(task)
 
     def _wake(self, task: _Task) -> None:
--- a/sloepond/lab/fabric.py
+++ b/sloepond/lab/fabric.py
@@ -42,10 +42,11 @@
     def _is_back(self, host: BalancerHost) -> bool:
         return host.node is not None and not host.leaving
 
-    def spray(self, packet: CallerPacket) -> None:
-        """Send a caller's packet to any of the balancers."""
+    def spray(self, packet: CallerPacket) -> BalancerHost | None:
+        """Send a caller's packet to any of the balancers and return which one."""
         known = self._known
         if not known:
-            return
+            return None
         host = known[int(self._draw() * len(known))]
         self._network.transmit(self._callers, host.endpoint, host.receive_from_caller, packet)
+        return host
--- a/sloepond/lab/result.py
+++ b/sloepond/lab/result.py
@@ -81,6 +81,8 @@
     measures: Measures
     broken_promises: tuple[BrokenPromise, ...]
     timeline: tuple[TimelineEntry, ...]
+    flows_cut: int
+    """Flows that faults left no way to their back end; they do not count as broken."""
     counters: dict[str, int]
     """Sum of the counters of all balancer processes that ended or ran at the end."""
     series: Series
--- a/sloepond/lab/runner.py
+++ b/sloepond/lab/runner.py
@@ -81,6 +81,7 @@
             measures=measures,
             broken_promises=tuple(self._broken_promises(measures)),
             timeline=tuple(self.world.timeline),
+            flows_cut=self.world.flow_checker.cut,
             counters=self.world.counters,
             series=Series(
                 in_flight=self._sampler.in_flight,
--- a/sloepond/resources/digest.py
+++ b/sloepond/resources/digest.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from sloepond.resources.model import Resource
+from sloepond.resources.slices import Slices, blocks, finished
 
 DIGEST_BYTES = 16
 _MODULUS = 2 ** (8 * DIGEST_BYTES)
@@ -39,8 +40,21 @@
     :param added: resources as they are now.
     :param removed: the same or other resources as they were before.
     """
-    difference = sum(map(resource_hash, added)) - sum(map(resource_hash, removed))
-    return _digest_text(int(digest, 16) + difference)
+    return finished(updated_digest_slices(digest, added, removed))
+
+
+def updated_digest_slices(
+    digest: str, added: Iterable[Resource], removed: Iterable[Resource]
+) -> Slices[str]:
+    """Do the work of `updated_digest` in slices."""
+    total = int(digest, 16)
+    for block in blocks(added):
+        total += sum(map(resource_hash, block))
+        yield len(block)
+    for block in blocks(removed):
+        total -= sum(map(resource_hash, block))
+        yield len(block)
+    return _digest_text(total)
 
 
 def _digest_text(total: int) -> str:
--- /dev/null
+++ b/sloepond/resources/layered.py
@@ -0,0 +1,81 @@
+"""A mapping whose changed copy shares all that did not change.
+
+Copying a dictionary of 120 000 entries for one change costs milliseconds.  Here
+a changed copy has the same base and a small layer of its own; once the layer is
+large, both are merged, which spreads the cost over many changes.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterable, Iterator, Mapping
+from typing import TypeVar
+
+Key = TypeVar("Key")
+Value = TypeVar("Value")
+
+LAYER_LIMIT = 1_000
+"""Entries of a layer above which it is merged with the base."""
+
+
+class LayeredMapping(Mapping[Key, Value]):
+    """A read-only mapping: a base, changed entries, and keys that are gone.
+
+    :param base: never changed after it was given.
+    """
+
+    __slots__ = ("_base", "_changed", "_length", "_removed")
+
+    def __init__(self, base: dict[Key, Value]) -> None:
+        self._base = base
+        self._changed: dict[Key, Value] = {}
+        self._removed: frozenset[Key] = frozenset()
+        self._length = len(base)
+
+    def __getitem__(self, key: Key) -> Value:
+        if key in self._changed:
+            return self._changed[key]
+        if key in self._removed:
+            raise KeyError(key)
+        return self._base[key]
+
+    def __contains__(self, key: object) -> bool:
+        return key in self._changed or (key in self._base and key not in self._removed)
+
+    def __iter__(self) -> Iterator[Key]:
+        if not self._changed and not self._removed:
+            return iter(self._base)
+        kept = itertools.filterfalse(self._removed.__contains__, self._base)
+        added = itertools.filterfalse(self._base.__contains__, self._changed)
+        return itertools.chain(kept, added)
+
+    def __len__(self) -> int:
+        return self._length
+
+    def edited(self, removed: Iterable[Key], added: Mapping[Key, Value]) -> LayeredMapping[Key, Value]:
+        """Return a copy without some keys and with other entries put in.
+
+        :param removed: keys to take out; unknown ones are ignored.
+        :param added: entries to put in; they win over `removed`.
+        """
+        changed = self._changed.copy()
+        gone = set(self._removed)
+        for key in removed:
+            changed.pop(key, None)
+            if key in self._base:
+                gone.add(key)
+        changed.update(added)
+        gone.difference_update(added)
+        result: LayeredMapping[Key, Value] = LayeredMapping(self._base)
+        result._changed = changed
+        result._removed = frozenset(gone)
+        result._length = len(self._base) - len(gone) + sum(key not in self._base for key in changed)
+        if len(changed) + len(gone) > LAYER_LIMIT:
+            return result._merged()
+        return result
+
+    def _merged(self) -> LayeredMapping[Key, Value]:
+        base = {**self._base, **self._changed}
+        for key in self._removed:
+            del base[key]
+        return LayeredMapping(base)
