--- a/features/cli/operator_commands.feature
+++ b/features/cli/operator_commands.feature
@@ -135,3 +135,6 @@
 
   Scenario: The cli counts a generation as in force only where every live balancer has it
     Then for any cli statuses the lagging balancers are those whose best known generation is older
+
+  Scenario: The cli does not drain over a change another operator made meanwhile
+    Then cli property: a write made after the drain has read is never overwritten
--- a/features/configuration/store.feature
+++ b/features/configuration/store.feature
@@ -11,7 +11,7 @@
     Then for any sets of resources the composed configuration delta leads from the first to the last
 
   Scenario: Configuration check limited to a change finds a fault if and only if the whole check does
-    Then for any valid set and any change the limited and batched configuration checks agree with the whole one
+    Then for any valid set and any change the limited and typed configuration checks agree with the whole one
 
   Scenario: Configuration decoding takes no malformed or oversized bytes
     Then for any bytes the configuration decoder returns a delta or nothing and never fails
@@ -116,3 +116,20 @@
     When malformed configuration parts come to the configuration store
     Then the configuration store has generation 1 in force
     And the configuration store counted 4 malformed inputs
+
+  Scenario: Configuration judged in many slices gives way to no older one
+    Given a configuration store with generation 1 in force that works in short slices
+    When the configuration store reads generations 2, 4, 3 at once
+    And the configuration stores run for 5 seconds
+    Then the configuration store has had generations 1, 2, 4 in force
+
+  Scenario: Configuration of many back ends is judged and encoded in short steps
+    Then no step of judging or encoding a configuration of 3000 back ends is longer than a block
+
+  Scenario: Configuration in any order is taken and one with a repeated resource is not
+    Given a configuration store with generation 1 in force
+    When the configuration store reads generation 2 in reverse order
+    Then the configuration store has generation 2 in force
+    When the configuration store reads generation 3 with a back end repeated
+    Then the configuration store has generation 2 in force and reported 1 rejection
+    And the rejection of the configuration names the repeated back end
--- a/features/lab/checkers.feature
+++ b/features/lab/checkers.feature
@@ -34,3 +34,9 @@
     When the lab runs it with a lopsided node
     Then the lab finds that imbalance_p99 is broken
     And the lab measures an imbalance of 1 for even work and of 5 for work at one of 5
+
+  Scenario: The lab tells flows cut off by faults from broken ones
+    Given a small lab scenario that cuts all balancers from the playback back ends for 16 s
+    When the lab runs it with the stateless baseline
+    Then the lab finds no broken promise
+    And the lab counts flows as cut off
--- a/features/resources/checking.feature
+++ b/features/resources/checking.feature
@@ -117,3 +117,9 @@
     Given the resources of the city accra
     When a resources status is written by someone else
     Then the resources findings are "status is written by the system, never declared"
+
+  Scenario: Resources of the kind back end are right by themselves exactly where the full check says so
+    Then for any values of a back end the typed resources check agrees with the full one
+
+  Scenario: Resources indexes share what does not change and equal ones made from the start
+    Then for any edits the resources sequence and mapping equal a list and a dictionary
--- a/features/steps/configuration_network.py
+++ b/features/steps/configuration_network.py
@@ -7,6 +7,7 @@
 from configuration_resources import FixedView, backend, context_of, resources
 
 from sloepond.core.commands import ReadConfiguration, RecordTransition, SendToPeer
+from sloepond.core.configuration.sliced_work import SLICE_UNITS
 from sloepond.core.configuration.store import ConfigurationStore
 from sloepond.core.messages import Member
 from sloepond.core.settings import ConfigurationSettings
@@ -38,10 +39,10 @@
 class Process:
     """One store; `generations` holds what it had in force, with the time."""
 
-    def __init__(self, member, view, seed):
+    def __init__(self, member, view, seed, slice_units=SLICE_UNITS):
         self.context = context_of(member, random.Random(seed))
         self.view = view
-        self.store = ConfigurationStore(self.context, ConfigurationSettings(), view)
+        self.store = ConfigurationStore(self.context, ConfigurationSettings(), view, slice_units)
         self.generations = []
         self.transitions = []
         self.asked = []
@@ -52,9 +53,10 @@
 class Network:
     """Carries messages between the stores; loses a share of them."""
 
-    def __init__(self, seed=1, count=6):
+    def __init__(self, seed=1, count=6, slice_units=SLICE_UNITS):
         self.random = random.Random(seed)
         self.count = count
+        self.slice_units = slice_units
         self.now = 0.0
         self.loss = 0.0
         self.generation = 0
@@ -70,7 +72,7 @@
         return members
 
     def add(self, member, view):
-        process = Process(member, view, f"{member.name}-{len(self.processes)}")
+        process = Process(member, view, f"{member.name}-{len(self.processes)}", self.slice_units)
         process.context.now = self.now
         self.processes[member.address] = process
         everyone = tuple(item.context.identity for item in self.processes.values())
--- a/features/steps/lab_steps.py
+++ b/features/steps/lab_steps.py
@@ -103,6 +103,19 @@
     context.lab_scenario = msgspec.structs.replace(SMALL, expect=Expectations(imbalance_p99=3.9))
 
 
+@given("a small lab scenario that cuts all balancers from the playback back ends for {seconds:d} s")
+def step_cut(context: Any, seconds: int) -> None:
+    balancers = ("balancer-1", "balancer-2", "balancer-3")
+    backends = tuple(f"playback-{number}" for number in range(1, 5))
+    cut = faults.Partition(4.0, balancers, float(seconds), other=backends)
+    context.lab_scenario = msgspec.structs.replace(SMALL, faults=(cut,))
+
+
+@then("the lab counts flows as cut off")
+def step_counts_cut(context: Any) -> None:
+    assert context.lab_result.flows_cut > 0
+
+
 @then("the lab measures an imbalance of 1 for even work and of {most:d} for work at one of {count:d}")
 def step_imbalance(context: Any, most: int, count: int) -> None:
     even, lopsided = BalanceMeter(), BalanceMeter()
--- a/features/steps/resources_steps.py
+++ b/features/steps/resources_steps.py
@@ -5,6 +5,8 @@
 import copy
 import json
 import tempfile
+from collections import Counter
+from operator import itemgetter
 from pathlib import Path
 
 import msgspec
@@ -16,8 +18,11 @@
 
 from sloepond.resources.compiled import CompiledConfiguration, make_snapshot
 from sloepond.resources.documents import parse_text
+from sloepond.resources.layered import LayeredMapping
 from sloepond.resources.loading import load_resources
-from sloepond.resources.model import API_VERSION, Backend, Hall
+from sloepond.resources.model import API_VERSION, Backend, BackendSpec, Hall, Metadata, Status
+from sloepond.resources.sorted_items import SortedItems
+from sloepond.resources.typed_rules import is_canonical_address, is_right_by_itself
 from sloepond.resources.validation import validate_snapshot, validate_values
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -299,3 +304,74 @@
             assert make_snapshot(1, list(validated.resources)).digest == expected
 
     check()
+
+
+@then("for any values of a back end the typed resources check agrees with the full one")
+def typed_check_agrees(context):
+    octets = st.integers(0, 260).map(str) | st.sampled_from(["00", "01", "224", "240", "255"])
+    ports = st.integers(0, 70_000).map(str) | st.sampled_from(["00", "080"])
+    plain = st.builds("{}.{}.{}.{}:{}".format, octets, octets, octets, octets, ports)
+    addresses = plain | st.sampled_from(["[::1]:7", "[0::1]:7", "::1:7", "1.2.3.4", "1.2.3.4:7\n"]) | TEXT
+    names = st.sampled_from(["a", "a-1", "-a", "a-", "A", "a" * 63, "a" * 64, "a\n"])
+    specs = st.builds(
+        BackendSpec,
+        st.just("playback"),
+        addresses,
+        st.just("osu"),
+        slots=st.sampled_from([0, 1, 100_000, 100_001]) | st.just(2),
+        connections=st.sampled_from([0, 1, 10_000_001]) | st.just(2),
+        weight=st.sampled_from([-1, 0, 10_000, 10_001]) | st.just(2),
+    )
+    versions = st.sampled_from([API_VERSION, API_VERSION, API_VERSION, "sloepond/v0"])
+    statuses = st.sampled_from([Status(), Status(), Status(1), Status(0, "x")])
+    verdicts = Counter()
+
+    @property_settings(400)
+    @for_any(st.builds(Backend, versions, names.map(Metadata), specs, statuses))
+    def check(backend):
+        findings = validate_snapshot((*typed(CITY), backend))
+        if any("is used by" in finding.reason for finding in findings):
+            return
+        assert is_right_by_itself(backend) == (not findings), (backend, findings)
+        verdicts[not findings] += 1
+        verdicts["plain"] += is_canonical_address(backend.spec.address)
+
+    check()
+    assert min(verdicts[True], verdicts[False], verdicts["plain"]) > 20, verdicts
+
+
+@then("for any edits the resources sequence and mapping equal a list and a dictionary")
+def shared_structures(context):
+    numbers = st.builds(range, st.integers(0, 1_500), st.integers(0, 3_000), st.integers(1, 700))
+    edits = st.lists(st.tuples(numbers, numbers), min_size=1, max_size=4)
+
+    @property_settings(100)
+    @for_any(st.integers(0, 1_500), edits)
+    def check(count, chosen):
+        expected = dict.fromkeys(range(0, 2 * count, 2), 0)
+        mapping = LayeredMapping(dict(expected))
+        sequence = SortedItems(sorted(expected.items()), itemgetter(0))
+        for version, (removed, added) in enumerate(chosen, start=1):
+            former = dict(expected), mapping, sequence
+            expected = {key: expected[key] for key in expected if key not in removed}
+            expected |= dict.fromkeys(added, version)
+            mapping = mapping.edited(removed, dict.fromkeys(added, version))
+            sequence = sequence.edited(removed, [(key, version) for key in reversed(added)])
+            assert_same(*former)
+            assert_same(expected, mapping, sequence)
+
+    check()
+
+
+def assert_same(expected, mapping, sequence):
+    ordered = sorted(expected.items())
+    assert dict(mapping) == expected
+    assert len(mapping) == len(expected)
+    assert [key for key in range(0, 3_000, 7) if key in mapping] == [
+        key for key in range(0, 3_000, 7) if key in expected
+    ]
+    assert list(sequence) == ordered
+    assert len(sequence) == len(ordered)
+    assert sequence == tuple(ordered)
+    assert sequence[5:600] == tuple(ordered[5:600])
+    assert [sequence[index] for index in range(0, len(ordered), 13)] == ordered[::13]
--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -37,8 +37,9 @@
 flows = st.builds(packets.FlowKey, addresses, addresses, st.integers(0, 2**64 - 1))
 request_ids = st.integers(0, edge.MAXIMUM_REQUEST_ID)
 attempts = st.integers(0, edge.MAXIMUM_ATTEMPT)
+waits = st.integers(0, edge.MAXIMUM_TIMEOUT_MS)
 loads = st.none() | st.builds(packets.LoadReport, st.integers(0, 9), st.integers(0, 2**31 - 1))
-request_fields = {"flow": flows, "request_id": request_ids, "attempt": attempts, "timeout_ms": attempts}
+request_fields = {"flow": flows, "request_id": request_ids, "attempt": attempts, "timeout_ms": waits}
 kinds = st.sampled_from(packets.CallerPacketKind)
 caller_packets = st.builds(packets.CallerPacket, kinds, **request_fields)
 reply_fields = {
@@ -55,7 +56,7 @@
         packets.CallerReply,
         st.sampled_from(packets.CallerReplyKind),
         reason=st.sampled_from(packets.Reason),
-        retry_after_ms=attempts,
+        retry_after_ms=waits,
         **reply_fields,
     ),
     st.builds(packets.BackendReply, st.sampled_from(packets.BackendReplyKind), load=loads, **reply_fields),
--- a/sloepond/cli/configuration_update.py
+++ b/sloepond/cli/configuration_update.py
@@ -15,7 +15,7 @@
 from sloepond.cli.platform_access import PlatformAccess
 from sloepond.cli.rollout import InForce, wait_in_force
 from sloepond.resources.loading import load_resources
-from sloepond.resources.model import Backend, BackendState, Resource
+from sloepond.resources.model import Backend, BackendState, ConfigurationSnapshot, Resource
 from sloepond.resources.validation import validate_snapshot
 
 
@@ -53,6 +53,17 @@
     present = platform.read()
     if isinstance(present, CommandFailure):
         return present
+    return _write_over(platform, present, wanted)
+
+
+def _write_over(
+    platform: PlatformAccess, present: ConfigurationSnapshot, wanted: Sequence[Resource]
+) -> ConfigurationUpdate | CommandFailure:
+    """Write `wanted` in place of `present`; refused where that is no longer in force.
+
+    What is written must rest on one read: a second one would hide a change that
+    another operator made in between.
+    """
     changes = compare_resources(present.resources, wanted)
     if changes.is_empty:
         return ConfigurationUpdate(present.generation, changes, time.monotonic())
@@ -73,7 +84,7 @@
     findings = validate_snapshot(wanted)
     if findings:
         return CommandFailure(REFUSED, f"{name} cannot be drained: {_count(len(findings))}", findings)
-    return replace_configuration(platform, wanted)
+    return _write_over(platform, present, wanted)
 
 
 def wait_for_update(
--- a/sloepond/cli/main.py
+++ b/sloepond/cli/main.py
@@ -61,6 +61,7 @@
         "list": CommandReference("lab", "list_scenarios"),
         "plot": CommandReference("lab", "plot"),
         "bench": CommandReference("bench", "bench"),
+        "capacity": CommandReference("capacity", "capacity"),
     },
 }
 
--- a/sloepond/core/configuration/delta.py
+++ b/sloepond/core/configuration/delta.py
@@ -9,9 +9,12 @@
 
 from sloepond.resources.compiled import ResourceKey, resource_key
 from sloepond.resources.model import Resource
+from sloepond.resources.slices import BLOCK_ITEMS, Slices, blocks, finished
 
 HISTORY_RESOURCES = 10_000
 """Resources kept in all deltas of the history together."""
+COMPARED_PER_UNIT = 16
+"""Equal resources compared for about the cost of compiling one."""
 
 
 class ConfigurationDelta(msgspec.Struct, frozen=True, array_like=True):
@@ -31,25 +34,86 @@
 
 
 def difference(before: Sequence[Resource], after: Sequence[Resource]) -> ConfigurationDelta:
-    """Return what leads from `before` to `after`, both sorted by key."""
-    changed: list[Resource] = []
-    removed: list[ResourceKey] = []
-    position = 0
-    for resource in after:
-        if position < len(before) and before[position] == resource:
-            position += 1
+    """Return what leads from `before` to `after`, both sorted by key, each key once.
+
+    :raises ValueError: if `after` is not sorted.
+    """
+    delta = finished(difference_slices(before, after))
+    if delta is None:
+        raise ValueError("the resources are not sorted by key, each key once")
+    return delta
+
+
+def difference_slices(
+    before: Sequence[Resource], after: Sequence[Resource]
+) -> Slices[ConfigurationDelta | None]:
+    """Do the work of `difference` in slices; None if `after` is not sorted."""
+    comparison = _Comparison(before)
+    for start in range(0, len(after), BLOCK_ITEMS):
+        block = tuple(after[start : start + BLOCK_ITEMS])
+        if comparison.skips(block):
+            yield len(block) // COMPARED_PER_UNIT
             continue
-        key = resource_key(resource)
-        while position < len(before) and resource_key(before[position]) < key:
-            removed.append(resource_key(before[position]))
-            position += 1
-        present = position < len(before) and resource_key(before[position]) == key
-        if not present or before[position] != resource:
-            changed.append(resource)
-        if present:
-            position += 1
-    removed.extend(resource_key(resource) for resource in before[position:])
-    return ConfigurationDelta(tuple(changed), tuple(removed))
+        if not comparison.takes(block):
+            return None
+        yield len(block)
+    return (yield from comparison.result())
+
+
+class _Comparison:
+    """Compares a sorted sequence with another one that comes block by block."""
+
+    def __init__(self, before: Sequence[Resource]) -> None:
+        self._before = before
+        self._position = 0
+        self._last_key: ResourceKey | None = None
+        self._changed: list[Resource] = []
+        self._removed: list[ResourceKey] = []
+
+    def skips(self, block: tuple[Resource, ...]) -> bool:
+        """Pass over a block that is the same in both; return whether it is."""
+        if self._before[self._position : self._position + len(block)] != block:
+            return False
+        if not self._follows(resource_key(block[0])):
+            return False
+        self._last_key = resource_key(block[-1])
+        self._position += len(block)
+        return True
+
+    def _follows(self, key: ResourceKey) -> bool:
+        return self._last_key is None or self._last_key < key
+
+    def takes(self, block: tuple[Resource, ...]) -> bool:
+        """Compare a block one by one; return False if it is not in order."""
+        for resource in block:
+            key = resource_key(resource)
+            if not self._follows(key):
+                return False
+            self._last_key = key
+            self._take(resource, key)
+        return True
+
+    def _take(self, resource: Resource, key: ResourceKey) -> None:
+        present = self._present()
+        while present is not None and resource_key(present) < key:
+            self._removed.append(resource_key(present))
+            self._position += 1
+            present = self._present()
+        is_known = present is not None and resource_key(present) == key
+        if not is_known or present != resource:
+            self._changed.append(resource)
+        if is_known:
+            self._position += 1
+
+    def _present(self) -> Resource | None:
+        return self._before[self._position] if self._position < len(self._before) else None
+
+    def result(self) -> Slices[ConfigurationDelta]:
+        """Return the difference, after the last block."""
+        for block in blocks(self._before[self._position :]):
+            self._removed.extend(map(resource_key, block))
+            yield len(block)
+        return ConfigurationDelta(tuple(self._changed), tuple(self._removed))
 
 
 def composed(deltas: Iterable[ConfigurationDelta]) -> ConfigurationDelta:
--- a/sloepond/core/configuration/encoding.py
+++ b/sloepond/core/configuration/encoding.py
@@ -1,17 +1,30 @@
-"""Deltas as bytes, cut into parts that fit a datagram."""
+"""Deltas as bytes, cut into parts that fit a datagram.
+
+A delta is encoded as blocks of a few hundred resources.  Each block is a length
+of 4 bytes, most significant first, and that many bytes of a compressed delta;
+the effect is that of all blocks together.  So a snapshot of any size is encoded
+and decoded in slices.
+"""
 
 from __future__ import annotations
 
 import zlib
+from collections.abc import Iterator
 
 import msgspec
 
 from sloepond.core.configuration.delta import ConfigurationDelta
+from sloepond.resources.compiled import ResourceKey
+from sloepond.resources.model import Resource
+from sloepond.resources.slices import Slices, blocks, finished
 
 MAXIMUM_ENCODED_BYTES = 16_000_000
 """Largest encoded delta or snapshot that is taken, in bytes."""
 MAXIMUM_DECODED_BYTES = 64_000_000
 """Largest delta or snapshot after decompression, in bytes."""
+DECODED_PER_UNIT = 2
+"""Resources decoded for about the cost of compiling one."""
+_LENGTH_BYTES = 4
 _COMPRESSION_LEVEL = 6
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -20,20 +33,72 @@
 
 def encode_delta(delta: ConfigurationDelta) -> bytes:
     """Return the compressed encoding of a delta."""
-    return zlib.compress(_ENCODER.encode(delta), _COMPRESSION_LEVEL)
+    return finished(encode_slices(delta))
+
+
+def encode_slices(delta: ConfigurationDelta) -> Slices[bytes]:
+    """Do the work of `encode_delta` in slices."""
+    encoded = bytearray()
+    for block in _blocks_of(delta):
+        encoded += framed(zlib.compress(_ENCODER.encode(block), _COMPRESSION_LEVEL))
+        yield block.size
+    return bytes(encoded)
+
+
+def _blocks_of(delta: ConfigurationDelta) -> Iterator[ConfigurationDelta]:
+    if delta.size == 0:
+        yield delta
+    for changed in blocks(delta.changed):
+        yield ConfigurationDelta(tuple(changed), ())
+    for removed in blocks(delta.removed):
+        yield ConfigurationDelta((), tuple(removed))
+
+
+def framed(data: bytes) -> bytes:
+    """Return the compressed bytes of a block with their length."""
+    return len(data).to_bytes(_LENGTH_BYTES, "big") + data
 
 
 def decode_delta(data: bytes) -> ConfigurationDelta | None:
     """Return the delta, or None if the bytes are malformed or too many."""
+    return finished(decode_slices(data))
+
+
+def decode_slices(data: bytes) -> Slices[ConfigurationDelta | None]:
+    """Do the work of `decode_delta` in slices."""
+    changed: list[Resource] = []
+    removed: list[ResourceKey] = []
+    position = 0
+    left = MAXIMUM_DECODED_BYTES
+    while position < len(data):
+        start = position + _LENGTH_BYTES
+        position = start + int.from_bytes(data[position:start], "big")
+        decoded = _decompressed(data[start:position], left) if position <= len(data) else None
+        block = _decoded(decoded) if decoded is not None else None
+        if decoded is None or block is None:
+            return None
+        left -= len(decoded)
+        changed.extend(block.changed)
+        removed.extend(block.removed)
+        yield block.size // DECODED_PER_UNIT
+    return ConfigurationDelta(tuple(changed), tuple(removed)) if data else None
+
+
+def _decompressed(data: bytes, limit: int) -> bytes | None:
+    """Return the decompressed bytes of a block; None if malformed or above the limit."""
+    if limit <= 0:
+        return None
     decompressor = zlib.decompressobj()
     try:
-        decoded = decompressor.decompress(data, MAXIMUM_DECODED_BYTES)
+        decoded = decompressor.decompress(data, limit)
     except zlib.error:
         return None
-    if not decompressor.eof:
-        return None
+    return decoded if decompressor.eof and not decompressor.unused_data else None
+
+
+def _decoded(data: bytes) -> ConfigurationDelta | None:
     try:
-        return _DECODER.decode(decoded)
+        return _DECODER.decode(data)
     except msgspec.MsgspecError:
         return None
 
--- a/sloepond/core/configuration/sender.py
+++ b/sloepond/core/configuration/sender.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from sloepond.core.configuration.delta import ConfigurationDelta, DeltaHistory
-from sloepond.core.configuration.encoding import encode_delta, part_count, part_of
+from sloepond.core.configuration.encoding import encode_delta, encode_slices, part_count, part_of
+from sloepond.core.configuration.sliced_work import SLICE_UNITS, SlicedWork
 from sloepond.core.configuration.token_bucket import TokenBucket
 from sloepond.core.context import NodeContext
 from sloepond.core.messages import ConfigurationPart, ConfigurationRequested
@@ -19,6 +20,8 @@
 CACHED_TRANSFERS = 4
 """Encoded transfers kept, so that one under way can end though a newer
 generation is in force."""
+MAXIMUM_WAITING = 16
+"""Balancers that may wait for one transfer to be encoded; others ask again."""
 
 
 class Transfer(msgspec.Struct, frozen=True):
@@ -34,13 +37,20 @@
 
 
 class ConfigurationSender:
-    """Answers requests from the generation in force, at a bounded rate."""
+    """Answers requests from the generation in force, at a bounded rate.
 
-    def __init__(self, context: NodeContext, settings: ConfigurationSettings) -> None:
+    A whole snapshot is encoded in slices; those who ask for it meanwhile wait.
+    """
+
+    def __init__(
+        self, context: NodeContext, settings: ConfigurationSettings, slice_units: int = SLICE_UNITS
+    ) -> None:
         self._context = context
         self._part_bytes = settings.part_bytes
         self._history = DeltaHistory(settings.delta_history)
         self._transfers: OrderedDict[tuple[int, int], Transfer] = OrderedDict()
+        self._encoding: SlicedWork[bytes] = SlicedWork(context, slice_units)
+        self._waiting: dict[str, ConfigurationRequested] = {}
         self._bucket = TokenBucket(
             settings.bytes_per_second, max(settings.bytes_per_second, WINDOW_PARTS * settings.part_bytes)
         )
@@ -58,6 +68,12 @@
         if in_force.generation < request.want_generation:
             return
         transfer = self._transfer_for(request, in_force)
+        if transfer is not None:
+            self._send_window(address, request, transfer)
+        elif len(self._waiting) < MAXIMUM_WAITING:
+            self._waiting[address] = request
+
+    def _send_window(self, address: str, request: ConfigurationRequested, transfer: Transfer) -> None:
         count = part_count(transfer.data, self._part_bytes)
         for part in range(request.part, min(request.part + WINDOW_PARTS, count)):
             data = part_of(transfer.data, self._part_bytes, part)
@@ -65,7 +81,10 @@
                 return
             self._send(address, transfer, part, count, data)
 
-    def _transfer_for(self, request: ConfigurationRequested, in_force: CompiledConfiguration) -> Transfer:
+    def _transfer_for(
+        self, request: ConfigurationRequested, in_force: CompiledConfiguration
+    ) -> Transfer | None:
+        """Return what answers a request; None while it is being encoded."""
         for base in (request.have_generation, 0):
             started = self._transfers.get((base, request.want_generation))
             if started is not None and request.part > 0:
@@ -76,9 +95,32 @@
         if cached is not None:
             return cached
         if delta is None:
-            delta = ConfigurationDelta(in_force.snapshot.resources, ())
+            return self._encoded_whole(in_force)
         return self._remember(Transfer(in_force.generation, in_force.digest, base, encode_delta(delta)))
 
+    def _encoded_whole(self, in_force: CompiledConfiguration) -> Transfer | None:
+        """Begin to encode the generation in force; return it if it is small."""
+        if not self._encoding.is_busy:
+            whole = ConfigurationDelta(tuple(in_force.content.resources), ())
+            self._encoding.start(encode_slices(whole), lambda data: self._whole_ready(in_force, data))
+        return self._transfers.get((0, in_force.generation))
+
+    def _whole_ready(self, in_force: CompiledConfiguration, data: bytes) -> None:
+        transfer = self._remember(Transfer(in_force.generation, in_force.digest, 0, data))
+        waiting = self._waiting
+        self._waiting = {}
+        for address, request in waiting.items():
+            if request.want_generation <= transfer.generation:
+                self._send_window(address, request, transfer)
+
+    def next_deadline(self) -> float:
+        """Return when the encoding under way is to go on."""
+        return self._encoding.next_deadline()
+
+    def on_time(self) -> None:
+        """Go on with the encoding under way."""
+        self._encoding.on_time()
+
     def _remember(self, transfer: Transfer) -> Transfer:
         self._transfers[(transfer.base_generation, transfer.generation)] = transfer
         if len(self._transfers) > CACHED_TRANSFERS:
--- a/sloepond/core/configuration/store.py
+++ b/sloepond/core/configuration/store.py
@@ -12,16 +12,16 @@
 
 from sloepond.core.commands import TransitionKind
 from sloepond.core.configuration.announcer import ConfigurationAnnouncer
-from sloepond.core.configuration.delta import ConfigurationDelta, difference
-from sloepond.core.configuration.encoding import decode_delta
+from sloepond.core.configuration.delta import ConfigurationDelta
 from sloepond.core.configuration.fetcher import ConfigurationFetcher, FetchedTransfer
+from sloepond.core.configuration.judgement import Outcome, Verdict, judge_snapshot, judge_transfer
 from sloepond.core.configuration.read_schedule import ReadSchedule
 from sloepond.core.configuration.rejections import Rejections
 from sloepond.core.configuration.sender import ConfigurationSender
+from sloepond.core.configuration.sliced_work import SLICE_UNITS, SlicedWork
 from sloepond.core.configuration.sources import DIGEST_PREFIX, Source
 from sloepond.core.configuration.startup import StartupHold
-from sloepond.core.configuration.validation import findings_after, is_sorted
-from sloepond.core.context import NodeContext
+from sloepond.core.context import NEVER, NodeContext
 from sloepond.core.membership_reader import MembershipReader
 from sloepond.core.messages import (
     ConfigurationOffered,
@@ -31,49 +31,58 @@
     PeerMessage,
 )
 from sloepond.core.settings import ConfigurationSettings
-from sloepond.resources.compiled import (
-    EMPTY_CONFIGURATION,
-    CompiledConfiguration,
-    resource_key,
-    updated_snapshot,
-)
+from sloepond.resources.compiled import EMPTY_CONFIGURATION, CompiledConfiguration
 from sloepond.resources.model import ConfigurationSnapshot
+from sloepond.resources.slices import Slices
 
-REPORTED_FINDINGS = 3
-"""Findings named in the report of a rejected generation."""
-DIGEST_MISMATCH = "the digest does not match the resources"
 CONTENT_CONFLICT = "another content is in force under this generation"
 
 
 class Candidate(msgspec.Struct, frozen=True):
-    """A generation that may be put in force, as a change of the present one.
+    """A generation that is judged, as a change of the one in force.
 
+    :ivar base: what was in force when the judgement began.
     :ivar digest: digest promised by whoever it came from.
-    :ivar source_address: balancer it came from, None for the platform.
+    :ivar transfer: what a balancer sent, None for the platform.
     """
 
+    base: CompiledConfiguration
     generation: int
     digest: str
-    delta: ConfigurationDelta
-    source_address: str | None
+    transfer: FetchedTransfer | None
+
+    @property
+    def source_address(self) -> str | None:
+        """Address of the balancer it came from, None for the platform."""
+        return self.transfer.address if self.transfer else None
 
 
 class ConfigurationStore:
     """Reads, checks, keeps and spreads the configuration.
 
+    One generation is judged at a time; a large one takes many calls of `on_time`.
+
     :ivar in_force: what is in force; generation 0 at first.
+    :param slice_units: work done in one call (see `resources.slices`).
     """
 
     def __init__(
-        self, context: NodeContext, settings: ConfigurationSettings, membership_view: MembershipReader
+        self,
+        context: NodeContext,
+        settings: ConfigurationSettings,
+        membership_view: MembershipReader,
+        slice_units: int = SLICE_UNITS,
     ) -> None:
         self._context = context
         self.in_force: CompiledConfiguration = EMPTY_CONFIGURATION
         self._service_up = True
+        self._work: SlicedWork[Verdict] = SlicedWork(context, slice_units)
+        self._candidate: Candidate | None = None
+        self._waiting: ConfigurationSnapshot | None = None
         self._rejections = Rejections(context)
         self._hold = StartupHold(context, settings.startup_wait_s)
         self._schedule = ReadSchedule(context, settings, membership_view)
-        self._sender = ConfigurationSender(context, settings)
+        self._sender = ConfigurationSender(context, settings, slice_units)
         self._announcer = ConfigurationAnnouncer(context, membership_view)
         self._fetcher = ConfigurationFetcher(context, settings, lambda: self.in_force.generation)
 
@@ -122,13 +131,14 @@
             self._judge_snapshot(snapshot)
 
     def _judge_snapshot(self, snapshot: ConfigurationSnapshot) -> None:
+        """Judge a snapshot now, or after what is judged at present; the newest one waits."""
         if not self._is_newer(snapshot.generation, snapshot.digest):
             return
-        resources = snapshot.resources
-        if not is_sorted(resources):
-            resources = tuple(sorted(resources, key=resource_key))
-        delta = difference(self.in_force.snapshot.resources, resources)
-        self._judge(Candidate(snapshot.generation, snapshot.digest, delta, None))
+        if not self._work.is_busy:
+            candidate = Candidate(self.in_force, snapshot.generation, snapshot.digest, None)
+            self._judge(candidate, judge_snapshot(self.in_force, snapshot))
+        elif self._waiting is None or snapshot.generation > self._waiting.generation:
+            self._waiting = snapshot
 
     def _is_newer(self, generation: int, digest: str) -> bool:
         """Return whether a version is to be considered; report a conflict."""
@@ -142,46 +152,55 @@
             return False
         return not self._rejections.includes(generation, digest)
 
-    def _judge(self, candidate: Candidate) -> bool:
-        """Put a candidate in force if it is newer and right as a whole.
+    def _judge(self, candidate: Candidate, work: Slices[Verdict]) -> None:
+        self._candidate = candidate
+        self._work.start(work, lambda verdict: self._judged(candidate, verdict))
+
+    def _judged(self, candidate: Candidate, verdict: Verdict) -> None:
+        self._candidate = None
+        is_right = self._act_on(candidate, verdict)
+        if not is_right and candidate.transfer is not None:
+            self._fetcher.transfer_failed(candidate.transfer)
+        waiting = self._waiting
+        self._waiting = None
+        if waiting is not None:
+            self._judge_snapshot(waiting)
+
+    def _act_on(self, candidate: Candidate, verdict: Verdict) -> bool:
+        """Put an accepted candidate in force, or report why it is not.
 
-        :returns: whether it was put in force.
+        :returns: whether it was what it promised.
         """
-        if not self._is_newer(candidate.generation, candidate.digest):
+        if verdict.outcome is Outcome.MALFORMED:
+            self._context.counters.input_malformed += 1
             return False
-        delta = candidate.delta
-        snapshot = updated_snapshot(
-            self.in_force.snapshot, candidate.generation, delta.changed, delta.removed
-        )
-        if snapshot.digest != candidate.digest:
-            if candidate.source_address is None:
-                self._rejections.add(candidate.generation, snapshot.digest, DIGEST_MISMATCH)
+        if self.in_force is not candidate.base:
             return False
-        findings = findings_after(self.in_force, delta, snapshot.resources)
-        if findings:
-            shown = "; ".join(str(finding) for finding in findings[:REPORTED_FINDINGS])
-            self._reject(candidate, f"{len(findings)} findings: {shown}")
+        if verdict.outcome is Outcome.MISMATCH:
+            if candidate.transfer is None:
+                self._rejections.add(candidate.generation, verdict.digest, verdict.reason)
             return False
-        self._put_in_force(candidate, snapshot)
+        if verdict.configuration is not None and verdict.delta is not None:
+            self._put_in_force(candidate, verdict.configuration, verdict.delta)
+        else:
+            self._rejections.add(candidate.generation, candidate.digest, verdict.reason)
+            self._fetcher.version_rejected(candidate.generation, candidate.digest[:DIGEST_PREFIX])
         return True
 
-    def _reject(self, candidate: Candidate, reason: str) -> None:
-        self._rejections.add(candidate.generation, candidate.digest, reason)
-        self._fetcher.version_rejected(candidate.generation, candidate.digest[:DIGEST_PREFIX])
-
-    def _put_in_force(self, candidate: Candidate, snapshot: ConfigurationSnapshot) -> None:
+    def _put_in_force(
+        self, candidate: Candidate, configuration: CompiledConfiguration, delta: ConfigurationDelta
+    ) -> None:
         former = self.in_force
-        delta = candidate.delta
-        self.in_force = former.updated_to(snapshot, delta.changed, delta.removed)
+        self.in_force = configuration
         self._context.counters.configuration_changes += 1
         source = candidate.source_address or "the platform"
         self._context.record_transition(
             TransitionKind.CONFIGURATION_IN_FORCE,
-            f"generation {snapshot.generation}",
-            f"digest {snapshot.digest[:DIGEST_PREFIX]}, from {source}",
+            f"generation {configuration.generation}",
+            f"digest {configuration.digest[:DIGEST_PREFIX]}, from {source}",
         )
-        self._sender.generation_taken(former.generation, snapshot.generation, delta)
-        self._announcer.generation_taken(self.in_force, candidate.source_address)
+        self._sender.generation_taken(former.generation, configuration.generation, delta)
+        self._announcer.generation_taken(configuration, candidate.source_address)
         self._fetcher.generation_changed()
 
     def generation_heard(self, address: str, generation: int, digest: str) -> None:
@@ -200,6 +219,13 @@
             self._judge_held()
         if generation > self.in_force.generation:
             source = Source(address, generation, digest[:DIGEST_PREFIX], self._context.now)
+            self._source_heard(source)
+
+    def _source_heard(self, source: Source) -> None:
+        """Fetch what a peer has, but not while something is judged; it may be the same."""
+        if self._work.is_busy:
+            self._fetcher.sources.note(source)
+        else:
             self._fetcher.source_heard(source)
 
     def handle(self, sender_address: str, message: PeerMessage) -> None:
@@ -215,40 +241,42 @@
 
     def _part_received(self, address: str, part: ConfigurationPart) -> None:
         self._context.counters.configuration_parts_received += 1
+        if self._work.is_busy:
+            return
         transfer = self._fetcher.part_received(address, part)
-        if transfer is not None and not self._take_transfer(transfer):
-            self._fetcher.transfer_failed(transfer)
-
-    def _take_transfer(self, transfer: FetchedTransfer) -> bool:
-        """Judge a complete transfer; return whether it was what it promised."""
+        if transfer is None:
+            return
         header = transfer.header
-        delta = decode_delta(transfer.data)
-        if delta is None:
-            self._context.counters.input_malformed += 1
-            return False
-        if header.base_generation == 0:
-            resources = sorted(delta.changed, key=resource_key)
-            delta = difference(self.in_force.snapshot.resources, resources)
-        elif header.base_generation != self.in_force.generation:
-            return False
-        candidate = Candidate(header.generation, header.digest, delta, transfer.address)
-        return self._judge(candidate) or self._rejections.includes(header.generation, header.digest)
+        if not self._is_newer(header.generation, header.digest):
+            self._fetcher.transfer_failed(transfer)
+            return
+        candidate = Candidate(self.in_force, header.generation, header.digest, transfer)
+        self._judge(candidate, judge_transfer(self.in_force, transfer))
 
     def next_deadline(self) -> float:
         """Return when `on_time` is to be called next."""
+        fetcher_deadline = NEVER if self._work.is_busy else self._fetcher.next_deadline()
         return min(
+            self._work.next_deadline(),
+            fetcher_deadline,
             self._schedule.next_deadline(),
-            self._fetcher.next_deadline(),
+            self._sender.next_deadline(),
             self._announcer.next_deadline(),
             self._hold.next_deadline(),
         )
 
     def on_time(self) -> None:
-        """Do what is due: reads, requests, offers, and judging a held snapshot."""
+        """Do what is due: reads, requests, offers, and a slice of work under way."""
         self._hold.start()
-        held = self._hold.held
-        known = max(self.in_force.generation, held.generation if held else 0)
-        self._schedule.on_time(known)
+        self._schedule.on_time(self._known_generation())
         self._judge_held()
-        self._fetcher.on_time()
+        self._work.on_time()
+        if not self._work.is_busy:
+            self._fetcher.on_time()
+        self._sender.on_time()
         self._announcer.on_time()
+
+    def _known_generation(self) -> int:
+        """Return the highest generation read, judged or in force here."""
+        known = (self._hold.held, self._waiting, self._candidate)
+        return max([self.in_force.generation, *(item.generation for item in known if item is not None)])
--- a/sloepond/core/configuration/validation.py
+++ b/sloepond/core/configuration/validation.py
@@ -1,19 +1,27 @@
-"""Checks a snapshot as a whole before it may be put in force."""
+"""Checks a generation as a whole before it may be put in force.
+
+`validate_snapshot` reports all faults of a set, at some 70 microseconds a
+resource.  Here the back ends in which it cannot find anything are told apart
+first, at a few microseconds each; it is asked about all the others, together
+with one back end of each service that shows that the service is reachable.
+"""
 
 from __future__ import annotations
 
-import bisect
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
+
+import msgspec
 
 from sloepond.core.configuration.delta import ConfigurationDelta
 from sloepond.resources.compiled import (
+    CompiledBackend,
     CompiledConfiguration,
-    CompiledService,
     ResourceKey,
     find_resource,
     is_place_permitted,
+    only_backends,
     resolve_locations,
-    resource_key,
+    without_backends,
 )
 from sloepond.resources.findings import Finding
 from sloepond.resources.model import (
@@ -26,26 +34,15 @@
     Service,
     ServiceSpec,
 )
+from sloepond.resources.slices import Slices, blocks, finished
+from sloepond.resources.typed_rules import is_right_by_itself
 from sloepond.resources.validation import validate_snapshot
 
-BATCH_BACKENDS = 2_000
-"""Back ends of a first snapshot checked at a time."""
-MAXIMUM_REPORTED = 10
-"""Back ends looked at for one fault that many may share."""
+MAXIMUM_REPORTED = 20
+"""Back ends looked at closely for one kind of fault."""
+SCANNED_PER_UNIT = 2
+"""Back ends checked against the others for about the cost of compiling one."""
 _BACKEND_KIND = Kind.BACKEND.value
-_AFTER_BACKENDS = ResourceKey(_BACKEND_KIND + "\0", "")
-"""Sorts after every back end and before all other kinds."""
-
-
-def is_sorted(resources: Sequence[Resource]) -> bool:
-    """Return whether the resources are sorted by key, each key once."""
-    previous: ResourceKey | None = None
-    for resource in resources:
-        key = resource_key(resource)
-        if previous is not None and key <= previous:
-            return False
-        previous = key
-    return True
 
 
 def findings_after(
@@ -53,122 +50,199 @@
 ) -> tuple[Finding, ...]:
     """Return what is wrong with the resources that a delta leads to.
 
-    After the first generation the check is limited to those resources that can
-    have a finding because of the change; the others were checked with the base.
-    There is a finding if and only if a check of all resources has one.
+    There is a finding if and only if a check of all resources has one; of many
+    faults of one kind only the first ones are reported.
 
     :param base: configuration the delta applies to, valid as a whole.
-    :param resources: all resources after the change, sorted by key.
+    :param resources: all resources after the change, sorted by key, each once.
     """
-    if base.generation == 0:
-        return findings_in_batches(resources, BATCH_BACKENDS)
-    return validate_snapshot(_affected_resources(base, delta, resources))
+    return finished(findings_after_slices(base, delta, resources))
 
 
-def findings_in_batches(resources: Sequence[Resource], batch: int) -> tuple[Finding, ...]:
-    """Return what is wrong with the resources, with bounded memory.
+def findings_after_slices(
+    base: CompiledConfiguration, delta: ConfigurationDelta, resources: Sequence[Resource]
+) -> Slices[tuple[Finding, ...]]:
+    """Do the work of `findings_after` in slices."""
+    is_small = base.generation > 0 and only_backends(delta.changed, delta.removed)
+    if is_small and (yield from _BackendChange(base, delta).is_right()):
+        return ()
+    others = without_backends(resources)
+    yield len(others)
+    if base.generation > 0 and _only_known_services(base, delta):
+        names = yield from _suspects_of_services(base, delta)
+    else:
+        scan = _Scan(others)
+        yield from scan.check_alone(delta.changed)
+        yield from scan.check_together(resources[: len(resources) - len(others)])
+        names = scan.suspects()
+    found = (find_resource(resources, ResourceKey(_BACKEND_KIND, name)) for name in sorted(names))
+    return validate_snapshot((*(resource for resource in found if resource is not None), *others))
 
-    Back ends are checked a batch at a time, each batch together with all other
-    kinds and with those back ends whose findings depend on other back ends.
 
-    :param resources: sorted by key.
-    :param batch: back ends checked at a time.
-    """
-    others = _without_backends(resources)
-    backends = resources[: len(resources) - len(others)]
-    if len(backends) <= batch:
-        return validate_snapshot(resources)
-    names = {*_scan(resources, others), *_address_sharers(resources)}
-    shared = [resource for resource in backends if resource.metadata.name in names]
-    rest = [resource for resource in backends if resource.metadata.name not in names]
-    findings: set[Finding] = set()
-    for start in range(0, max(len(rest), 1), batch):
-        findings.update(validate_snapshot((*others, *shared, *rest[start : start + batch])))
-    return tuple(sorted(findings))
-
-
-def _without_backends(resources: Sequence[Resource]) -> Sequence[Resource]:
-    return resources[bisect.bisect_left(resources, _AFTER_BACKENDS, key=resource_key) :]
-
-
-def _address_sharers(resources: Sequence[Resource]) -> set[str]:
-    """Return the back ends that use an address of another back end or a service."""
-    users: dict[str, list[Resource]] = {}
-    for resource in resources:
-        if isinstance(resource, Backend | Service):
-            users.setdefault(resource.spec.address, []).append(resource)
-    return {
-        user.metadata.name
-        for sharers in users.values()
-        for user in sharers[:MAXIMUM_REPORTED]
-        if len(sharers) > 1 and isinstance(user, Backend)
-    }
-
-
-def _affected_resources(
-    base: CompiledConfiguration, delta: ConfigurationDelta, resources: Sequence[Resource]
-) -> tuple[Resource, ...]:
-    """Return all resources but the back ends whose findings cannot have changed.
+def _only_known_services(base: CompiledConfiguration, delta: ConfigurationDelta) -> bool:
+    """Return whether a change concerns nothing but services that were there before."""
+    if delta.removed or not all(isinstance(resource, Service) for resource in delta.changed):
+        return False
+    return all(resource.metadata.name in base.services_by_name for resource in delta.changed)
 
-    Kept are the changed back ends, unchanged ones that use an address of what
-    changed or name something that is gone, and one back end of each service that
-    shows that the service is reachable.
-    """
-    others = _without_backends(resources)
-    replaced = {resource.metadata.name for resource in delta.changed if isinstance(resource, Backend)}
-    replaced.update(key.name for key in delta.removed if key.kind == _BACKEND_KIND)
-    names = _address_holders(base, delta)
-    if _only_backends(delta):
-        names.update(_witness(service, replaced) for service in base.services_by_name.values())
-    else:
-        names.update(_scan(resources, others))
-    changed = [resource for resource in delta.changed if isinstance(resource, Backend)]
-    kept = [find_resource(resources, ResourceKey(_BACKEND_KIND, name)) for name in sorted(names - replaced)]
-    return (*others, *changed, *(resource for resource in kept if resource is not None))
 
+def _suspects_of_services(base: CompiledConfiguration, delta: ConfigurationDelta) -> Slices[set[str]]:
+    """Return the back ends to check in full after a change of services alone.
 
-def _only_backends(delta: ConfigurationDelta) -> bool:
-    return all(isinstance(resource, Backend) for resource in delta.changed) and all(
-        key.kind == _BACKEND_KIND for key in delta.removed
-    )
+    These are the ones that hold an address of a changed service, and one of each
+    service that shows whether it is reachable.
+    """
+    specs = {item.metadata.name: item.spec for item in delta.changed if isinstance(item, Service)}
+    holders = (base.backends_by_address.get(spec.address) for spec in specs.values())
+    names = {holder.name for holder in holders if holder is not None}
+    for service in base.services_by_name.values():
+        if service.name not in specs:
+            names.update(backend.name for backend in service.placeable[:1])
+            continue
+        witnesses = _ServiceWitnesses()
+        for block in blocks(service.backends):
+            for backend in block:
+                witnesses.note(specs[service.name], backend)
+            yield len(block) // SCANNED_PER_UNIT
+        names.update(witnesses.names())
+    return names
+
+
+class _BackendChange:
+    """A change of back ends alone, checked against the indexes of a valid base."""
+
+    def __init__(self, base: CompiledConfiguration, delta: ConfigurationDelta) -> None:
+        self._base = base
+        self._changed = [resource for resource in delta.changed if isinstance(resource, Backend)]
+        self._replaced = {backend.metadata.name for backend in self._changed}
+        self._replaced.update(key.name for key in delta.removed)
+
+    def is_right(self) -> Slices[bool]:
+        """Return whether the set after the change is valid as a whole."""
+        addresses: set[str] = set()
+        for block in blocks(self._changed):
+            if not all(self._fits(backend) for backend in block):
+                return False
+            addresses.update(backend.spec.address for backend in block)
+            yield len(block)
+        return len(addresses) == len(self._changed) and self._all_reachable()
+
+    def _fits(self, backend: Backend) -> bool:
+        spec = backend.spec
+        holder = self._base.backends_by_address.get(spec.address)
+        return (
+            is_right_by_itself(backend)
+            and spec.service in self._base.services_by_name
+            and spec.hall in self._base.locations
+            and spec.address not in self._base.services_by_address
+            and (holder is None or holder.name in self._replaced)
+        )
+
+    def _all_reachable(self) -> bool:
+        """Return whether each service that lost a back end still has one that takes flows."""
+        former = (self._base.backends_by_name.get(name) for name in self._replaced)
+        owners = {backend.service for backend in former if backend is not None}
+        return all(self._is_reachable(owner) for owner in owners)
+
+    def _is_reachable(self, name: str) -> bool:
+        service = self._base.services_by_name[name]
+        if any(backend.name not in self._replaced for backend in service.placeable):
+            return True
+        locations = self._base.locations
+        return any(
+            backend.spec.service == name
+            and _takes_flows(service.spec, backend.spec, locations[backend.spec.hall])
+            for backend in self._changed
+        )
+
+
+class _ServiceWitnesses(msgspec.Struct):
+    """Back ends of one service that decide whether it is reachable.
+
+    :ivar taking: one that takes new flows; empty if there is none.
+    :ivar permitted: one in a permitted place.
+    :ivar any: one at all.
+    """
 
+    taking: str = ""
+    permitted: str = ""
+    any: str = ""
 
-def _address_holders(base: CompiledConfiguration, delta: ConfigurationDelta) -> set[str]:
-    """Return the back ends that used an address of a changed resource before."""
-    holders = (
-        base.backends_by_address.get(resource.spec.address)
-        for resource in delta.changed
-        if isinstance(resource, Backend | Service)
-    )
-    return {holder.name for holder in holders if holder is not None}
+    def note(self, service: ServiceSpec, backend: CompiledBackend) -> None:
+        """Look at another back end, unless one that takes new flows was found."""
+        if not self.taking:
+            self.note_at(service, backend.location, backend.name, backend.state, backend.weight)
 
+    def note_at(
+        self, service: ServiceSpec, location: Location, name: str, state: BackendState, weight: int
+    ) -> None:
+        """Look at a back end of the service at a location."""
+        self.any = name
+        if not is_place_permitted(service, location):
+            return
+        self.permitted = name
+        if state is BackendState.ACTIVE and weight > 0:
+            self.taking = name
 
-def _witness(service: CompiledService, replaced: set[str]) -> str:
-    """Return an unchanged back end that takes new flows; empty if there is none."""
-    return next((backend.name for backend in service.placeable if backend.name not in replaced), "")
+    def names(self) -> set[str]:
+        """Return the one back end that shows best whether the service is reachable."""
+        return {self.taking or self.permitted or self.any} - {""}
 
 
-def _scan(resources: Sequence[Resource], others: Sequence[Resource]) -> set[str]:
-    """Look at every back end after a change of services or places.
+class _Scan:
+    """Looks at every back end; finds those that the full check is to be asked about.
 
-    Returns one back end of each service that takes new flows, and the first few
-    that name a hall or service that is gone.
+    :param others: all resources of other kinds.
     """
-    services = {resource.metadata.name: resource.spec for resource in others if isinstance(resource, Service)}
-    locations = resolve_locations(tuple(others))
-    witnesses: dict[str, str] = {}
-    dangling: list[str] = []
-    for resource in resources:
-        if not isinstance(resource, Backend):
-            break
-        spec = resource.spec
-        service = services.get(spec.service)
-        location = locations.get(spec.hall)
+
+    def __init__(self, others: Sequence[Resource]) -> None:
+        services = [resource for resource in others if isinstance(resource, Service)]
+        self._services = {service.metadata.name: service.spec for service in services}
+        self._locations: Mapping[str, Location] = resolve_locations(tuple(others))
+        self._addresses = {service.spec.address: "" for service in services}
+        self._witnesses = {service.metadata.name: _ServiceWitnesses() for service in services}
+        self._wrong: list[str] = []
+        self._dangling: list[str] = []
+        self._sharing: list[str] = []
+
+    def check_alone(self, resources: Iterable[Resource]) -> Slices[None]:
+        """Check the back ends among some resources by themselves."""
+        for block in blocks(resources):
+            for resource in block:
+                if isinstance(resource, Backend) and not is_right_by_itself(resource):
+                    self._wrong.append(resource.metadata.name)
+            yield len(block)
+
+    def check_together(self, backends: Iterable[Resource]) -> Slices[None]:
+        """Check all back ends against the other resources and each other."""
+        for block in blocks(backends):
+            for resource in block:
+                if isinstance(resource, Backend):
+                    self._check_references(resource.metadata.name, resource.spec)
+                    self._check_address(resource.metadata.name, resource.spec.address)
+            yield len(block) // SCANNED_PER_UNIT
+
+    def _check_references(self, name: str, backend: BackendSpec) -> None:
+        service = self._services.get(backend.service)
+        location = self._locations.get(backend.hall)
         if service is None or location is None:
-            dangling.append(resource.metadata.name)
-        elif spec.service not in witnesses and _takes_flows(service, spec, location):
-            witnesses[spec.service] = resource.metadata.name
-    return {*witnesses.values(), *dangling[:MAXIMUM_REPORTED]}
+            self._dangling.append(name)
+            return
+        witnesses = self._witnesses[backend.service]
+        if not witnesses.taking:
+            witnesses.note_at(service, location, name, backend.state, backend.weight)
+
+    def _check_address(self, name: str, address: str) -> None:
+        holder = self._addresses.setdefault(address, name)
+        if holder != name:
+            self._sharing.extend((holder, name) if len(self._sharing) < MAXIMUM_REPORTED else ())
+
+    def suspects(self) -> set[str]:
+        """Return the names of back ends to check in full; no other has a finding of its own kind."""
+        names = {*self._wrong[:MAXIMUM_REPORTED], *self._dangling[:MAXIMUM_REPORTED], *self._sharing}
+        for item in self._witnesses.values():
+            names.update(item.names())
+        return names - {""}
 
 
 def _takes_flows(service: ServiceSpec, backend: BackendSpec, location: Location) -> bool:
--- a/sloepond/core/membership/bootstrap.py
+++ b/sloepond/core/membership/bootstrap.py
@@ -6,8 +6,9 @@
 
 A process that hears of an existing view never forms a cell.  One danger remains:
 if a majority of the bootstrap members restart at the same time and can reach no
-member of the cell that still lives, they form a second cell.  Operators therefore
-list all first members of a cell, and start replacements without the list.
+member of the cell that still lives, they form a second cell.  Where all names of
+the cell are listed, and machines that are replaced keep their names, the rest of
+the old cell has no quorum then and holds no lease; its members join later on.
 """
 
 from __future__ import annotations
--- a/sloepond/demo/__main__.py
+++ b/sloepond/demo/__main__.py
@@ -5,17 +5,21 @@
 import functools
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
 import defopt
 import trio
 from rich.console import Console
 
-from sloepond.demo.running import run_demo
+from sloepond.demo.probes.running import ProbeName, ProbeSettings
+from sloepond.demo.probes.summary import print_result
+from sloepond.demo.running import run_demo, run_probe
 from sloepond.demo.scenario import DemoSettings
 from sloepond.demo.summary import print_summary
 from sloepond.standins.checking import check_promises
+from sloepond.standins.fabric_model import FabricSettings
+from sloepond.standins.workload import WorkloadSettings
 
 EXIT_KEPT = 0
 EXIT_BROKEN = 1
@@ -34,9 +38,13 @@
     duplication: float = 0.0,
     reordering: float = 0.0,
     seed: int = 1,
+    scenario: ProbeName | None = None,
 ) -> int:
     """Run a fleet on loopback, drain a back end, stop a balancer and check all promises.
 
+    With a scenario the fleet is put under failure instead; callers then come in
+    waves for as long as it takes, and `flows` and the times are those of one wave.
+
     :param example: directory of the resources to start from.
     :param drained: back end drained on the way.
     :param flows: flows opened in all.
@@ -47,7 +55,17 @@
     :param duplication: share of callers' datagrams the fabric delivers twice.
     :param reordering: share of callers' datagrams the fabric holds back.
     :param seed: seed of the workload and of the fabric.
+    :param scenario: failure to show.
     """
+    if scenario is not None:
+        probe = ProbeSettings(
+            scenario,
+            example,
+            WorkloadSettings(flows=flows, opening_s=opening_s, lifetime_s=lifetime_s, pause_s=pause_s),
+            FabricSettings(loss=loss, duplication=duplication, reordering=reordering),
+            seed,
+        )
+        return trio.run(_run_interruptible, functools.partial(_run_probe, probe), Console())
     settings = DemoSettings(
         example=example,
         drained=drained,
@@ -60,14 +78,14 @@
         reordering=reordering,
         seed=seed,
     )
-    return trio.run(functools.partial(_run_and_report, settings, Console()))
+    return trio.run(_run_interruptible, functools.partial(_run_checked, settings), Console())
 
 
-async def _run_and_report(settings: DemoSettings, console: Console) -> int:
+async def _run_interruptible(run: Callable[[Console], Awaitable[int]], console: Console) -> int:
     exit_code = EXIT_NOT_RUN
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on_signal, nursery.cancel_scope, console)
-        exit_code = await _run_checked(settings, console)
+        exit_code = await run(console)
         nursery.cancel_scope.cancel()
     return exit_code
 
@@ -90,9 +108,17 @@
     return EXIT_KEPT
 
 
+async def _run_probe(settings: ProbeSettings, console: Console) -> int:
+    result = await run_probe(settings, console)
+    if result is None:
+        return EXIT_NOT_RUN
+    print_result(result, console)
+    return EXIT_BROKEN if result.broken else EXIT_KEPT
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the demo with command-line arguments and return the exit code."""
-    return int(defopt.run(demo, argv=arguments))
+    return int(defopt.run(demo, parsers={ProbeName: ProbeName}, argv=arguments))
 
 
 if __name__ == "__main__":
--- a/sloepond/demo/balancer_settings.py
+++ b/sloepond/demo/balancer_settings.py
@@ -65,16 +65,34 @@
             api=ApiSettings(write_tokens=(token,)),
             node=NodeSettings(membership=membership),
         )
-        planned.append(_write(settings, directory))
+        planned.append(_write(settings, directory, settings.name))
     return planned
 
 
+def plan_replacement(
+    planned: PlannedBalancer, name: str, host: int, network: LoopbackNetwork, directory: Path
+) -> PlannedBalancer:
+    """Write a settings file like that of `planned`, for a machine of its own.
+
+    :param host: host of `network` that no other balancer uses.
+    """
+    settings = msgspec.structs.replace(
+        planned.settings,
+        name=name,
+        edge_address=network.address(host, EDGE_PORT),
+        backend_address=network.address(host, BACKEND_FACING_PORT),
+        peer_address=network.address(host, PEER_PORT),
+        api_address=network.address(host, API_PORT),
+    )
+    return _write(settings, directory, f"{name}-{host}")
+
+
 def _name(host: int) -> str:
     return f"balancer-{host - FIRST_BALANCER_HOST + 1}"
 
 
-def _write(settings: BalancerSettings, directory: Path) -> PlannedBalancer:
-    file = directory / f"{settings.name}.toml"
+def _write(settings: BalancerSettings, directory: Path, stem: str) -> PlannedBalancer:
+    file = directory / f"{stem}.toml"
     file.write_text(_toml_table((), msgspec.to_builtins(settings)), encoding="utf-8")
     return PlannedBalancer(settings, file, f"http://{settings.api_address}")
 
--- /dev/null
+++ b/sloepond/demo/fleet.py
@@ -0,0 +1,238 @@
+"""The processes of one demo: stand-ins and balancers, started and waited for.
+
+Every wait is for what the processes say of themselves, not for a time.
+"""
+
+from __future__ import annotations
+
+import functools
+from collections.abc import Sequence
+from pathlib import Path
+
+import httpx
+import msgspec
+
+from sloepond.core.messages import Member
+from sloepond.demo.addresses import (
+    ANY_PORT,
+    BACKENDS_CONTROL_HOST,
+    CLIENT_HOST,
+    FABRIC_HOST,
+    FABRIC_PORT,
+    FIRST_BALANCER_HOST,
+    PLATFORM_HOST,
+    PLATFORM_PORT,
+    LoopbackNetwork,
+)
+from sloepond.demo.balancer_settings import PlannedBalancer, plan_balancers, plan_replacement
+from sloepond.demo.declaration import Declaration, declare
+from sloepond.demo.fleet_access import FleetAccess, is_serving, member_of, wait_until
+from sloepond.demo.processes import DemoProcess, ProcessFailedError, ProcessGroup
+from sloepond.resources.model import Location
+from sloepond.standins.backend_model import Execution
+from sloepond.standins.fabric_model import Balancer, FabricSettings
+from sloepond.standins.workload import WorkloadSettings
+
+CLI_MODULE = "sloepond"
+STANDIN_MODULE = "sloepond.cli.standin"
+
+START_TIMEOUT_S = 30.0
+
+
+class RunningBalancer(msgspec.Struct, frozen=True):
+    """A balancer and its process."""
+
+    planned: PlannedBalancer
+    process: DemoProcess
+
+    @property
+    def name(self) -> str:
+        """Name of the balancer."""
+        return self.planned.name
+
+
+class Fleet:
+    """Stand-ins, a balancer in each hall and access to them.
+
+    :param example: directory of the resources to start from.
+    :param faults: faults of the fabric.
+    :ivar balancers: balancers that are meant to run, in the order of their start.
+    """
+
+    def __init__(
+        self,
+        example: Path,
+        faults: FabricSettings,
+        seed: int,
+        network: LoopbackNetwork,
+        directory: Path,
+        group: ProcessGroup,
+        http: httpx.AsyncClient,
+    ) -> None:
+        self._faults = faults
+        self._seed = seed
+        self._group = group
+        self._backend_urls: list[str] = []
+        self._hosts_used = 0
+        self._fabric_url = ""
+        self.network = network
+        self.directory = directory
+        self.access = FleetAccess(http)
+        self.declaration = declare(example, network, directory)
+        self.balancers: list[RunningBalancer] = []
+
+    @property
+    def platform_url(self) -> str:
+        """URL of the platform."""
+        return f"http://{self._platform_address}"
+
+    @property
+    def _platform_address(self) -> str:
+        return self.network.address(PLATFORM_HOST, PLATFORM_PORT)
+
+    @property
+    def _fabric_address(self) -> str:
+        return self.network.address(FABRIC_HOST, FABRIC_PORT)
+
+    async def start(self) -> tuple[Member, ...]:
+        """Start everything but clients; return the members of the cell."""
+        locations = _halls(self.declaration)
+        planned = plan_balancers(locations, self.network, self.platform_url, self.directory)
+        self._hosts_used = len(planned)
+        await self._start_standins(planned)
+        for balancer in planned:
+            await self.start_balancer(balancer)
+        await self.wait_serving()
+        return await self.list_machines()
+
+    async def _start_standins(self, planned: list[PlannedBalancer]) -> None:
+        platform = await self._start_platform()
+        backends = await self._start_backends()
+        fabric = await self._start_fabric(planned)
+        await platform.started()
+        self._fabric_url = (await fabric.started()).url
+        self._backend_urls = [(await process.started()).url for process in backends]
+
+    async def _start_platform(self) -> DemoProcess:
+        arguments = ["platform", "--address", self._platform_address]
+        arguments += ["--resources", str(self.declaration.file)]
+        return await self._group.start("platform", STANDIN_MODULE, arguments)
+
+    async def _start_backends(self) -> list[DemoProcess]:
+        """Start a process for each hall, which runs all back ends there."""
+        names_by_hall: dict[str, list[str]] = {}
+        for backend in self.declaration.configuration.backends_by_name.values():
+            names_by_hall.setdefault(backend.location.hall, []).append(backend.name)
+        return [await self._start_hall(hall, names) for hall, names in sorted(names_by_hall.items())]
+
+    async def _start_hall(self, hall: str, names: list[str]) -> DemoProcess:
+        arguments = ["backend", "--control", self.network.address(BACKENDS_CONTROL_HOST, ANY_PORT)]
+        arguments += ["--resources", str(self.declaration.file), "--names", *names]
+        return await self._group.start(f"backends-{hall}", STANDIN_MODULE, arguments)
+
+    async def _start_fabric(self, planned: list[PlannedBalancer]) -> DemoProcess:
+        faults = self._faults
+        arguments = ["fabric", "--address", self._fabric_address, "--platform-url", self.platform_url]
+        arguments += ["--control", self.network.address(FABRIC_HOST, ANY_PORT)]
+        arguments += ["--loss", str(faults.loss), "--duplication", str(faults.duplication)]
+        arguments += ["--reordering", str(faults.reordering), "--seed", str(self._seed)]
+        arguments += ["--balancers", *(f"{item.name}={item.settings.edge_address}" for item in planned)]
+        return await self._group.start("fabric", STANDIN_MODULE, arguments)
+
+    async def start_client(self, workload: WorkloadSettings, seed: int) -> DemoProcess:
+        """Start a client that calls all services through the fabric."""
+        arguments = ["client", "--fabric-address", self._fabric_address]
+        arguments += ["--resources", str(self.declaration.file)]
+        own_address = self.network.address(CLIENT_HOST, ANY_PORT)
+        arguments += ["--address", own_address, "--control", own_address]
+        arguments += ["--flows", str(workload.flows), "--opening-s", str(workload.opening_s)]
+        arguments += ["--lifetime-s", str(workload.lifetime_s), "--pause-s", str(workload.pause_s)]
+        arguments += ["--seed", str(seed)]
+        return await self._group.start(f"client-{seed}", STANDIN_MODULE, arguments)
+
+    async def run_command(self, name: str, arguments: Sequence[str]) -> DemoProcess:
+        """Start an operators' command, `name` being that of its process."""
+        return await self._group.start(name, CLI_MODULE, arguments)
+
+    async def start_balancer(self, planned: PlannedBalancer) -> RunningBalancer:
+        """Start a balancer and add it to `balancers`; it is not yet serving."""
+        name = f"{planned.file.stem}-run-{len(self._group.processes)}"
+        process = await self._group.start(name, CLI_MODULE, ["balancer", "--settings", str(planned.file)])
+        running = RunningBalancer(planned, process)
+        self.balancers.append(running)
+        return running
+
+    async def start_replacement(self, replaced: RunningBalancer, name: str) -> RunningBalancer:
+        """Start a balancer with new addresses in the hall of another."""
+        host = FIRST_BALANCER_HOST + self._hosts_used
+        self._hosts_used += 1
+        planned = plan_replacement(replaced.planned, name, host, self.network, self.directory)
+        return await self.start_balancer(planned)
+
+    async def wait_serving(self) -> None:
+        """Wait until all of `balancers` are in one view, with lease and configuration.
+
+        :raises ProcessFailedError: where one of them has ended.
+        """
+        await wait_until(
+            self._are_serving, START_TIMEOUT_S, "view of all balancers with lease and configuration"
+        )
+
+    async def _are_serving(self) -> bool:
+        for balancer in self.balancers:
+            balancer.process.check_running()
+            if not await self.access.is_ready(balancer.planned.api_url):
+                return False
+            if not is_serving(await self.access.status(balancer.planned), len(self.balancers)):
+                return False
+        return True
+
+    async def wait_in_force(self, generation: int) -> None:
+        """Wait until `generation`, or a later one, is in force on all of `balancers`."""
+        reached = functools.partial(self._is_in_force, generation)
+        await wait_until(reached, START_TIMEOUT_S, f"generation {generation} on every balancer")
+
+    async def _is_in_force(self, generation: int) -> bool:
+        for balancer in self.balancers:
+            status = await self.access.status(balancer.planned)
+            if status is None or status.generation < generation:
+                return False
+        return True
+
+    async def list_machines(self) -> tuple[Member, ...]:
+        """Write `balancers` into the platform's list of machines; the fabric reads it late."""
+        members = []
+        for balancer in self.balancers:
+            status = await self.access.status(balancer.planned)
+            if status is None:
+                raise ProcessFailedError(f"{balancer.name} does not answer any more")
+            members.append(member_of(balancer.planned, status))
+        await self.access.write_machines(self.platform_url, tuple(members))
+        return tuple(members)
+
+    async def set_fabric_targets(self, balancers: Sequence[RunningBalancer]) -> None:
+        """Let the fabric know just these balancers, by their present addresses."""
+        targets = (Balancer(item.name, item.planned.settings.edge_address) for item in balancers)
+        await self.access.set_balancers(self._fabric_url, tuple(targets))
+
+    async def executions(self) -> tuple[Execution, ...]:
+        """Return what all back ends executed."""
+        executions: list[Execution] = []
+        for url in self._backend_urls:
+            executions += (await self.access.executions(url)).executions
+        return tuple(executions)
+
+    async def flows_opened_at(self, backend: str) -> int:
+        """Return how many flows a back end has opened, by its own count."""
+        for url in self._backend_urls:
+            for status in (await self.access.backends(url)).backends:
+                if status.name == backend:
+                    return status.counters.opened
+        raise ProcessFailedError(f"no process runs {backend}")
+
+
+def _halls(declaration: Declaration) -> list[Location]:
+    """Return the location of each hall that has back ends, sorted."""
+    backends = declaration.configuration.backends_by_name.values()
+    locations = {backend.location.hall: backend.location for backend in backends}
+    return [locations[hall] for hall in sorted(locations)]
--- a/sloepond/demo/fleet_access.py
+++ b/sloepond/demo/fleet_access.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -13,13 +14,25 @@
 from sloepond.core.messages import Member, MemberState
 from sloepond.core.status import NodeStatus
 from sloepond.demo.balancer_settings import PlannedBalancer
-from sloepond.standins.backend import EXECUTIONS_PATH, ExecutionLog
+from sloepond.resources.model import ConfigurationSnapshot
+from sloepond.standins.backend import BACKENDS_PATH, EXECUTIONS_PATH, BackendList, ExecutionLog
 from sloepond.standins.caller_report import CallerProgress
 from sloepond.standins.client import PROGRESS_PATH
+from sloepond.standins.fabric import BALANCERS_PATH, BalancerList
+from sloepond.standins.fabric_model import Balancer
 from sloepond.standins.http import READY_PATH
-from sloepond.standins.platform import MACHINES_PATH, MachineList
+from sloepond.standins.platform import (
+    CONFIGURATION_PATH,
+    MACHINES_PATH,
+    MODE_PATH,
+    MachineList,
+    ModeRequest,
+)
 
 POLL_INTERVAL_S = 0.2
+METRICS_PATH = "/metrics"
+
+_COUNTER = re.compile(r"^sloepond_(\w+)_total (\S+)$", re.MULTILINE)
 
 _Content = TypeVar("_Content")
 
@@ -43,13 +56,23 @@
 
     async def status(self, balancer: PlannedBalancer) -> NodeStatus | None:
         """Return the status of a balancer, None where it does not answer."""
+        response = await self._ask_balancer(balancer, STATUS_PATH)
+        return None if response is None else msgspec.json.decode(response.content, type=NodeStatus)
+
+    async def counters(self, balancer: PlannedBalancer) -> dict[str, int]:
+        """Return the counters of a balancer by name, none where it does not answer."""
+        response = await self._ask_balancer(balancer, METRICS_PATH)
+        found = _COUNTER.findall(response.text) if response is not None else []
+        return {name: int(float(value)) for name, value in found}
+
+    async def _ask_balancer(self, balancer: PlannedBalancer, path: str) -> httpx.Response | None:
         token = balancer.settings.api.write_tokens[0]
         headers = {"authorization": f"Bearer {token}"}
         try:
-            response = await self._http.get(balancer.api_url + STATUS_PATH, headers=headers)
+            response = await self._http.get(balancer.api_url + path, headers=headers)
         except httpx.HTTPError:
             return None
-        return msgspec.json.decode(response.content, type=NodeStatus) if response.is_success else None
+        return response if response.is_success else None
 
     async def progress(self, client_url: str) -> CallerProgress:
         """Return how far the client has come."""
@@ -61,8 +84,26 @@
 
     async def write_machines(self, platform_url: str, members: tuple[Member, ...]) -> None:
         """Replace the platform's list of machines."""
-        body = msgspec.json.encode(MachineList(members))
-        response = await self._http.put(platform_url + MACHINES_PATH, content=body)
+        await self._write(platform_url + MACHINES_PATH, MachineList(members))
+
+    async def backends(self, backend_url: str) -> BackendList:
+        """Return the state of the back ends of one process."""
+        return await self._read(backend_url + BACKENDS_PATH, BackendList)
+
+    async def configuration(self, platform_url: str) -> ConfigurationSnapshot:
+        """Return the configuration that the platform gives."""
+        return await self._read(platform_url + CONFIGURATION_PATH, ConfigurationSnapshot)
+
+    async def set_mode(self, platform_url: str, mode: ModeRequest) -> None:
+        """Let the platform fail, or work again."""
+        await self._write(platform_url + MODE_PATH, mode)
+
+    async def set_balancers(self, fabric_url: str, balancers: tuple[Balancer, ...]) -> None:
+        """Replace the balancers the fabric knows."""
+        await self._write(fabric_url + BALANCERS_PATH, BalancerList(balancers))
+
+    async def _write(self, url: str, content: msgspec.Struct) -> None:
+        response = await self._http.put(url, content=msgspec.json.encode(content))
         response.raise_for_status()
 
     async def _read(self, url: str, expected: type[_Content]) -> _Content:
--- /dev/null
+++ b/sloepond/demo/probes/load.py
@@ -0,0 +1,81 @@
+"""Callers that run through the fabric for as long as a scenario takes.
+
+Clients are started in waves that overlap, each a process of its own, so the load
+lasts however slowly the machine goes through the steps of the scenario.
+"""
+
+from __future__ import annotations
+
+import httpx
+import msgspec
+import trio
+
+from sloepond.demo.fleet import Fleet
+from sloepond.demo.fleet_access import POLL_INTERVAL_S, wait_until
+from sloepond.demo.processes import DemoProcess
+from sloepond.standins.caller_record import FlowRecord
+from sloepond.standins.caller_report import CallerReport
+from sloepond.standins.workload import WorkloadSettings
+
+STEP_TIMEOUT_S = 60.0
+
+
+class Load:
+    """Waves of callers.
+
+    :param wave: what the callers of one wave do.
+    :ivar flows: flows of the waves that have ended.
+    """
+
+    def __init__(self, fleet: Fleet, wave: WorkloadSettings, seed: int) -> None:
+        self._fleet = fleet
+        self._wave = wave
+        self._seed = seed
+        self._is_finished = False
+        self._started_before = 0
+        self._started = 0
+        self.flows: list[FlowRecord] = []
+
+    @property
+    def started(self) -> int:
+        """Flows started so far, in all waves."""
+        return self._started_before + self._started
+
+    def finish(self) -> None:
+        """Start no more waves; `run` returns when the present ones have ended."""
+        self._is_finished = True
+
+    async def run(self) -> None:
+        """Run waves until `finish` is called and the last one has ended."""
+        seed = self._seed
+        async with trio.open_nursery() as nursery:
+            while not self._is_finished:
+                client = await self._fleet.start_client(self._wave, seed)
+                url = (await client.started()).url
+                nursery.start_soon(self._collect, client)
+                await self._wait_until_opened(url)
+                seed += 1
+
+    async def wait_for_flows(self, more: int) -> None:
+        """Wait until `more` flows have started from now on."""
+        wanted = self.started + more
+
+        async def are_started() -> bool:
+            return self.started >= wanted
+
+        await wait_until(are_started, STEP_TIMEOUT_S, f"{more} more flows started")
+
+    async def _wait_until_opened(self, client_url: str) -> None:
+        """Wait until all flows of a wave have started."""
+        while self._started < self._wave.flows:
+            await trio.sleep(POLL_INTERVAL_S)
+            try:
+                self._started = (await self._fleet.access.progress(client_url)).started
+            except httpx.HTTPError:
+                break
+        self._started_before += self._wave.flows
+        self._started = 0
+
+    async def _collect(self, client: DemoProcess) -> None:
+        report = msgspec.json.decode(await client.read_line(), type=CallerReport)
+        self.flows += report.flows
--- /dev/null
+++ b/sloepond/demo/probes/malformed_input.py
@@ -0,0 +1,158 @@
+"""Malformed, truncated, oversized and unauthenticated datagrams, at a bounded rate, on loopback."""
+
+from __future__ import annotations
+
+import functools
+import random
+import secrets
+import socket
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+import trio
+
+from sloepond.core.packets import (
+    BackendReply,
+    BackendReplyKind,
+    CallerPacket,
+    CallerPacketKind,
+    FlowKey,
+)
+from sloepond.demo.addresses import CLIENT_HOST
+from sloepond.demo.fleet import Fleet, RunningBalancer
+from sloepond.demo.fleet_access import wait_until
+from sloepond.demo.probes.load import STEP_TIMEOUT_S, Load
+from sloepond.demo.probes.outcome import Check, ProbeOutcome, expect_some
+from sloepond.runtime.addresses import parse_address
+from sloepond.wire.authentication import Authenticator, Key, KeyRing
+from sloepond.wire.edge import MAXIMUM_PACKET_BYTES, encode_packet
+
+DATAGRAMS_PER_SOCKET = 1_500
+DATAGRAMS_PER_BURST = 30
+BURST_PAUSE_S = 0.01
+"""At most 3,000 datagrams a second in all."""
+
+SEED = 1
+_FLOWS_BETWEEN_STEPS = 10
+_COUNTED = ("input_malformed", "input_oversized", "input_unauthenticated")
+_SOCKETS = Path("/proc/net/udp")
+_OVERSIZED_BYTES = 2 * MAXIMUM_PACKET_BYTES
+_NOT_MESSAGEPACK = b"\xc1"
+"""A first byte that no encoder writes."""
+
+MakeDatagram = Callable[[random.Random], bytes]
+
+
+class _Target(msgspec.Struct, frozen=True):
+    """One socket of a balancer and the datagrams it is sent."""
+
+    balancer: RunningBalancer
+    socket_name: str
+    address: str
+    makers: tuple[MakeDatagram, ...]
+    counters: tuple[str, ...]
+
+
+async def malformed_input(fleet: Fleet, load: Load) -> ProbeOutcome:
+    """Send garbage to each socket of each balancer, one after the other."""
+    await load.wait_for_flows(_FLOWS_BETWEEN_STEPS)
+    checks: list[Check] = []
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    with sender:
+        sender.setblocking(False)
+        sender.bind((parse_address(fleet.network.address(CLIENT_HOST, 0))[0], 0))
+        for balancer in fleet.balancers:
+            for target in _targets(balancer):
+                checks += await _attack(fleet, target, sender)
+    await load.wait_for_flows(_FLOWS_BETWEEN_STEPS)
+    return ProbeOutcome(tuple(checks))
+
+
+def _targets(balancer: RunningBalancer) -> list[_Target]:
+    settings = balancer.planned.settings
+    edge = (_noise, _oversized, functools.partial(_truncated, _caller_packet()))
+    backend = (_noise, _oversized, functools.partial(_truncated, _backend_reply()))
+    peer = (_noise, _oversized, functools.partial(_forged, settings.peer_address))
+    by_size = ("input_malformed", "input_oversized")
+    return [
+        _Target(balancer, "edge", settings.edge_address, edge, by_size),
+        _Target(balancer, "back-end-facing", settings.backend_address, backend, by_size),
+        _Target(balancer, "peer", settings.peer_address, peer, ("input_unauthenticated",)),
+    ]
+
+
+async def _attack(fleet: Fleet, target: _Target, sender: socket.socket) -> list[Check]:
+    before = await fleet.access.counters(target.balancer.planned)
+    dropped_before = _kernel_drops(target.address)
+    sent = await _send(target, sender)
+
+    async def counted() -> int:
+        now = await fleet.access.counters(target.balancer.planned)
+        return sum(now.get(name, 0) - before.get(name, 0) for name in _COUNTED)
+
+    async def all_are_counted() -> bool:
+        return await counted() + _kernel_drops(target.address) - dropped_before >= sent
+
+    what = f"{target.balancer.name} {target.socket_name}"
+    await wait_until(all_are_counted, STEP_TIMEOUT_S, f"count of {sent} datagrams at {what}")
+    after = await fleet.access.counters(target.balancer.planned)
+    total = await counted()
+    measured = f"{total} of {sent}, {_kernel_drops(target.address) - dropped_before} dropped by the kernel"
+    grown = [expect_some(f"{what}: {name}", after[name] - before[name]) for name in target.counters]
+    return [Check(f"{what}: datagrams counted", measured, 0 < total <= sent), *grown]
+
+
+async def _send(target: _Target, sender: socket.socket) -> int:
+    """Send the datagrams of a target and return how many the kernel took."""
+    chooser = random.Random(SEED)
+    sent = 0
+    for number in range(DATAGRAMS_PER_SOCKET):
+        datagram = target.makers[number % len(target.makers)](chooser)
+        try:
+            sender.sendto(datagram, parse_address(target.address))
+            sent += 1
+        except BlockingIOError:
+            pass
+        if number % DATAGRAMS_PER_BURST == 0:
+            await trio.sleep(BURST_PAUSE_S)
+    return sent
+
+
+def _noise(chooser: random.Random) -> bytes:
+    return _NOT_MESSAGEPACK + chooser.randbytes(chooser.randint(0, 200))
+
+
+def _oversized(chooser: random.Random) -> bytes:
+    return chooser.randbytes(_OVERSIZED_BYTES)
+
+
+def _truncated(datagram: bytes, chooser: random.Random) -> bytes:
+    return datagram[: chooser.randint(0, len(datagram) - 1)]
+
+
+def _forged(recipient: str, chooser: random.Random) -> bytes:
+    """Return a whole datagram of a member, sealed with a key of our own."""
+    key = KeyRing((Key(1, secrets.token_bytes(32)),))
+    sealed = Authenticator(key, "balancer-1", chooser.getrandbits(40), recipient)
+    return sealed.seal(chooser.randbytes(64), recipient)
+
+
+def _caller_packet() -> bytes:
+    return encode_packet(CallerPacket(CallerPacketKind.REQUEST, _flow(), request_id=1, payload=b"payload"))
+
+
+def _backend_reply() -> bytes:
+    return encode_packet(BackendReply(BackendReplyKind.ANSWER, _flow(), request_id=1, payload=b"payload"))
+
+
+def _flow() -> FlowKey:
+    return FlowKey("127.0.0.1:80", "127.0.0.1:81", 1)
+
+
+def _kernel_drops(address: str) -> int:
+    """Return how many datagrams the kernel dropped at a full buffer of a local socket."""
+    host, port = parse_address(address)[:2]
+    name = f"{int.from_bytes(socket.inet_aton(host), 'little'):08X}:{port:04X}"
+    lines = (line.split() for line in _SOCKETS.read_text(encoding="ascii").splitlines()[1:])
+    return sum(int(fields[-1]) for fields in lines if fields[1] == name)
--- /dev/null
+++ b/sloepond/demo/probes/operators.py
@@ -0,0 +1,54 @@
+"""Operators' commands run by scenarios."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+import trio
+
+from sloepond.demo.fleet import Fleet
+from sloepond.demo.processes import DemoProcess, ProcessFailedError
+from sloepond.runtime.clock import monotonic_seconds
+from sloepond.standins.checking import Departure
+
+COMMAND_TIMEOUT_S = 60.0
+
+
+class CommandResult(msgspec.Struct, frozen=True):
+    """How a command ended; `errors` are the lines of its standard error."""
+
+    name: str
+    exit_code: int
+    errors: tuple[str, ...]
+
+
+async def finish(process: DemoProcess) -> CommandResult:
+    """Wait for the end of a command."""
+    with trio.fail_after(COMMAND_TIMEOUT_S):
+        exit_code = await process.wait()
+    return CommandResult(process.name, exit_code, tuple(process.log_lines()))
+
+
+async def start_drain(fleet: Fleet, backend: str, platform_url: str) -> DemoProcess:
+    """Start `sloepond drain`."""
+    return await fleet.run_command(f"drain-{backend}", ["drain", backend, "--platform", platform_url])
+
+
+async def start_apply(fleet: Fleet, files: Sequence[Path], platform_url: str) -> DemoProcess:
+    """Start `sloepond apply`."""
+    names = [str(file) for file in files]
+    name = f"apply-{Path(files[0]).stem}"
+    return await fleet.run_command(name, ["apply", *names, "--platform", platform_url])
+
+
+async def drain(fleet: Fleet, backend: str) -> Departure:
+    """Drain a back end; it may get new flows for a few seconds.
+
+    :raises ProcessFailedError: where the command is refused.
+    """
+    result = await finish(await start_drain(fleet, backend, fleet.platform_url))
+    if result.exit_code != 0:
+        raise ProcessFailedError(f"drain ended with {result.exit_code}: {result.errors}")
+    return Departure(backend, monotonic_seconds())
--- /dev/null
+++ b/sloepond/demo/probes/outcome.py
@@ -0,0 +1,106 @@
+"""What a scenario showed, and whether each promise was kept."""
+
+from __future__ import annotations
+
+import msgspec
+
+from sloepond.core.packets import Reason
+from sloepond.demo.fleet import Fleet
+from sloepond.standins.caller_record import BreakReason, FlowState, RequestOutcome
+from sloepond.standins.caller_report import all_requests, count_outcomes, count_states
+from sloepond.standins.checking import Departure, Evidence, Promise, check_promises
+
+MAXIMUM_DETAILS = 5
+HANDLER_FAILURES = "handler_failures"
+_ENDED_WITHOUT_WORD = (RequestOutcome.SILENT, RequestOutcome.PENDING, RequestOutcome.ABANDONED)
+
+
+class Check(msgspec.Struct, frozen=True):
+    """One thing that must hold.
+
+    :ivar measured: what was found, as text.
+    """
+
+    name: str
+    measured: str
+    is_kept: bool
+
+
+class ProbeOutcome(msgspec.Struct, frozen=True):
+    """What the steps of a scenario gave, besides the evidence of callers and back ends."""
+
+    checks: tuple[Check, ...] = ()
+    departures: tuple[Departure, ...] = ()
+
+
+class ProbeResult(msgspec.Struct, frozen=True):
+    """A scenario that ran to its end.
+
+    :ivar notes: what is counted and is no promise, as lines.
+    """
+
+    scenario: str
+    checks: tuple[Check, ...]
+    notes: tuple[str, ...]
+
+    @property
+    def broken(self) -> tuple[Check, ...]:
+        """The checks that do not hold."""
+        return tuple(check for check in self.checks if not check.is_kept)
+
+
+def expect_equal(name: str, measured: object, expected: object) -> Check:
+    """Return a check that `measured` is `expected`."""
+    return Check(name, f"{measured} (must be {expected})", measured == expected)
+
+
+def expect_some(name: str, measured: int) -> Check:
+    """Return a check that a count is above zero, so that the scenario has shown something."""
+    return Check(name, f"{measured} (must be above 0)", measured > 0)
+
+
+def check_evidence(evidence: Evidence) -> tuple[Check, ...]:
+    """Compare callers with back ends; every promise gives a check."""
+    broken = check_promises(evidence)
+    checks = []
+    for promise in Promise:
+        details = [item.detail for item in broken if item.promise is promise]
+        shown = "; ".join(details[:MAXIMUM_DETAILS])
+        checks.append(Check(promise, f"{len(details)} broken {shown}".rstrip(), not details))
+    outcomes = count_outcomes(evidence.flows)
+    silent = sum(outcomes[outcome] for outcome in _ENDED_WITHOUT_WORD)
+    unopened = count_states(evidence.flows)[FlowState.UNOPENED]
+    return (
+        *checks,
+        expect_equal("requests without an answer of any kind", silent, 0),
+        expect_equal("flows that were told nothing", unopened, 0),
+        expect_some("requests answered", outcomes[RequestOutcome.ANSWERED]),
+    )
+
+
+async def check_processes(fleet: Fleet) -> tuple[Check, ...]:
+    """Check that every balancer that is meant to run does, without faults."""
+    ended = [item.name for item in fleet.balancers if not item.process.is_running]
+    checks = [expect_equal("balancers that ended", ", ".join(ended) or "none", "none")]
+    for balancer in fleet.balancers:
+        counters = await fleet.access.counters(balancer.planned)
+        failures = counters.get(HANDLER_FAILURES)
+        checks.append(expect_equal(f"handler failures of {balancer.name}", failures, 0))
+    return tuple(checks)
+
+
+def describe_evidence(evidence: Evidence) -> tuple[str, ...]:
+    """Return counts of what callers were told, as lines."""
+    flows = evidence.flows
+    requests = all_requests(flows)
+    states = ", ".join(f"{count} {state}" for state, count in count_states(flows).most_common())
+    outcomes = ", ".join(f"{count} {item}" for item, count in count_outcomes(flows).most_common())
+    reasons = sorted({Reason(item.reason).name for item in requests if item.reason is not Reason.NONE})
+    breaks = sorted({flow.break_reason for flow in flows} - {BreakReason.NONE})
+    gaps = sum(flow.feed_gaps for flow in flows)
+    items = sum(flow.feed_items for flow in flows)
+    return (
+        f"flows: {len(flows)} ({states}) {' '.join(breaks)}".rstrip(),
+        f"requests: {len(requests)} ({outcomes}) {' '.join(reasons)}".rstrip(),
+        f"executions: {len(evidence.executions)}; feed items: {items}, {gaps} skipped",
+    )
--- /dev/null
+++ b/sloepond/demo/probes/rolling.py
@@ -0,0 +1,38 @@
+"""All balancers are replaced one after the other, each replacement started first."""
+
+from __future__ import annotations
+
+import trio
+
+from sloepond.demo.fleet import Fleet, RunningBalancer
+from sloepond.demo.probes.load import STEP_TIMEOUT_S, Load
+from sloepond.demo.probes.outcome import Check, ProbeOutcome, expect_equal
+
+_FLOWS_BETWEEN_STEPS = 10
+
+
+async def rolling(fleet: Fleet, load: Load) -> ProbeOutcome:
+    """Start a replacement with a new name, stop the old balancer, and so on."""
+    checks: list[Check] = []
+    for number, old in enumerate(list(fleet.balancers), start=1):
+        await load.wait_for_flows(_FLOWS_BETWEEN_STEPS)
+        await fleet.start_replacement(old, f"replacement-{number}")
+        await fleet.wait_serving()
+        await fleet.set_fabric_targets(fleet.balancers)
+        await fleet.list_machines()
+        await load.wait_for_flows(_FLOWS_BETWEEN_STEPS)
+        exit_code = await stop(fleet, old)
+        checks.append(expect_equal(f"exit code of {old.name}", exit_code, 0))
+        await fleet.wait_serving()
+    await load.wait_for_flows(_FLOWS_BETWEEN_STEPS)
+    return ProbeOutcome(tuple(checks))
+
+
+async def stop(fleet: Fleet, balancer: RunningBalancer) -> int:
+    """Stop a balancer as planned and take it out of the fabric; return its exit code."""
+    fleet.balancers.remove(balancer)
+    balancer.process.terminate()
+    await fleet.set_fabric_targets(fleet.balancers)
+    with trio.fail_after(STEP_TIMEOUT_S):
+        exit_code = await balancer.process.wait()
+    return exit_code
--- a/sloepond/demo/processes.py
+++ b/sloepond/demo/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import subprocess
 import sys
 from collections.abc import Sequence
@@ -67,6 +68,28 @@
         """Send SIGTERM."""
         self._process.terminate()
 
+    def kill(self) -> None:
+        """Send SIGKILL."""
+        self._process.kill()
+
+    def pause(self) -> None:
+        """Send SIGSTOP: the process stands still, and its sockets go on filling."""
+        self._process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Send SIGCONT."""
+        self._process.send_signal(signal.SIGCONT)
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self._process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process.poll() is None
+
     async def wait(self) -> int:
         """Wait for the end and return the exit code."""
         return await self._process.wait()
@@ -81,10 +104,13 @@
             self._process.kill()
             await self._process.wait()
 
+    def log_lines(self) -> list[str]:
+        """Return the lines of standard error so far."""
+        return self._log_file.read_text(encoding="utf-8", errors="replace").splitlines()
+
     def log_tail(self) -> str:
         """Return the last lines of standard error."""
-        lines = self._log_file.read_text(encoding="utf-8", errors="replace").splitlines()
-        return "\n".join(lines[-LOG_TAIL_LINES:])
+        return "\n".join(self.log_lines()[-LOG_TAIL_LINES:])
 
 
 class ProcessGroup:
--- a/sloepond/demo/running.py
+++ b/sloepond/demo/running.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import functools
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
+from typing import Protocol, TypeVar
 
 import httpx
 import msgspec
@@ -12,12 +15,17 @@
 
 from sloepond.demo.addresses import LoopbackNetwork, NetworkUnavailableError
 from sloepond.demo.declaration import InvalidExampleError
+from sloepond.demo.probes.outcome import ProbeResult
+from sloepond.demo.probes.running import Probe, ProbeSettings
 from sloepond.demo.processes import ProcessFailedError, ProcessGroup
 from sloepond.demo.scenario import DemoResult, DemoSettings, Scenario
 
 DEMO_TIMEOUT_S = 170.0
 HTTP_TIMEOUT_S = 3.0
 
+_Result = TypeVar("_Result")
+_ResultOut = TypeVar("_ResultOut", covariant=True)
+
 _FAILURES = (
     InvalidExampleError,
     NetworkUnavailableError,
@@ -30,27 +38,50 @@
 )
 
 
+Prepare = Callable[[LoopbackNetwork, Path, ProcessGroup, httpx.AsyncClient], "Runnable[_Result]"]
+"""Makes what is to run in a network, with files in a directory."""
+
+
+class Runnable(Protocol[_ResultOut]):
+    """A demo or a scenario that is prepared."""
+
+    async def run(self) -> _ResultOut:
+        """Run it and return what it showed."""
+
+
 async def run_demo(settings: DemoSettings, console: Console) -> DemoResult | None:
     """Run a demo; its processes have ended on return.
 
     :returns: None where the demo did not run to its end; `console` then got the reasons.
     """
-    result: DemoResult | None = None
+    return await _run_in_directory(functools.partial(Scenario, settings), console)
+
+
+async def run_probe(settings: ProbeSettings, console: Console) -> ProbeResult | None:
+    """Run a scenario under failure; its processes have ended on return.
+
+    :returns: None where it did not run to its end; `console` then got the reasons.
+    """
+    return await _run_in_directory(functools.partial(Probe, settings), console)
+
+
+async def _run_in_directory(prepare: Prepare[_Result], console: Console) -> _Result | None:
+    result: _Result | None = None
     with tempfile.TemporaryDirectory(prefix="sloepond-demo-") as directory:
         group = ProcessGroup(Path(directory))
         try:
             with trio.fail_after(DEMO_TIMEOUT_S):
-                result = await _run_in_network(settings, Path(directory), group)
+                result = await _run_in_network(prepare, Path(directory), group)
         except* _FAILURES as failures:
             _print_failure(failures, group, console)
     return result
 
 
-async def _run_in_network(settings: DemoSettings, directory: Path, group: ProcessGroup) -> DemoResult:
+async def _run_in_network(prepare: Prepare[_Result], directory: Path, group: ProcessGroup) -> _Result:
     network = LoopbackNetwork()
     try:
         async with httpx.AsyncClient(timeout=HTTP_TIMEOUT_S, trust_env=False) as http:
-            return await Scenario(settings, network, directory, group, http).run()
+            return await prepare(network, directory, group, http).run()
     finally:
         await group.end_all()
         network.close()
--- a/sloepond/lab/bench/cell.py
+++ b/sloepond/lab/bench/cell.py
@@ -10,6 +10,7 @@
 
 from sloepond.core.events import ConfigurationRead
 from sloepond.core.node import Node
+from sloepond.lab.bench.backend import answer_packets
 from sloepond.lab.bench.setting import balancer_settings, configuration, free_addresses, make_node
 from sloepond.lab.bench.stopwatch import Stopwatch
 from sloepond.runtime.addresses import parse_address
@@ -112,7 +113,7 @@
     async def _run_for(self, duration_s: float) -> None:
         deadline = time.monotonic() + duration_s
         while time.monotonic() < deadline:
-            await self.run()
+            await self.run_with_backends()
             await trio.sleep(POLL_INTERVAL_S)
 
     def _is_ready(self, node: Node) -> bool:
@@ -132,6 +133,15 @@
                 return total
             total += handled
 
+    async def run_with_backends(self) -> None:
+        """Let balancers and back ends handle what has come until nothing moves."""
+        await self.run()
+        while self._answer_as_backends():
+            await self.run()
+
+    def _answer_as_backends(self) -> int:
+        return sum(answer_packets(backend) for backend in self.backends)
+
     def restart_stopwatches(self) -> None:
         """Forget the processor time used so far."""
         for balancer in self.balancers:
--- a/sloepond/lab/capacity/hollow_fleet.py
+++ b/sloepond/lab/capacity/hollow_fleet.py
@@ -82,6 +82,7 @@
 class HollowFleet:
     """All balancers of one simulation.
 
+    :ivar settings: settings of the core that all balancers share.
     :ivar nodes: running balancers by peer address.
     :ivar replies: replies to callers by kind.
     :ivar ended: addresses of balancers whose planned stop is complete.
@@ -89,6 +90,7 @@
 
     def __init__(self, plan: FleetPlan, seed: int = 1) -> None:
         self.plan = plan
+        self.settings = NodeSettings()
         self.queue = EventQueue()
         self.nodes: dict[str, HollowNode] = {}
         self.replies: collections.Counter[CallerReplyKind] = collections.Counter()
@@ -130,7 +132,7 @@
             bootstrap=tuple(_name(cell, other) for other in numbers),
             seeds=seeds,
         )
-        return NodeSettings(membership=membership)
+        return msgspec.structs.replace(self.settings, membership=membership)
 
     # Time
 
--- a/sloepond/lab/director.py
+++ b/sloepond/lab/director.py
@@ -147,6 +147,7 @@
             pairs |= {(second, first) for first, second in pairs}
         unreachable = side if fault.platform else set()
         self._world.note(f"partition: {', '.join(fault.side)} for {fault.duration_s:g} s")
+        self._world.partitioned_at = self._queue.now
         self._blocked.append(pairs)
         self._unreachable.append(unreachable)
         self._update_reach()
--- a/sloepond/resources/compiled.py
+++ b/sloepond/resources/compiled.py
@@ -8,67 +8,59 @@
 from __future__ import annotations
 
 import bisect
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
-from sloepond.resources.digest import digest_of, updated_digest
+from sloepond.resources.compiled_items import (
+    CompiledBackend,
+    CompiledService,
+    compile_backend,
+    compile_service,
+    is_place_permitted,
+)
+from sloepond.resources.digest import digest_of, updated_digest_slices
+from sloepond.resources.index_update import IndexUpdate, RemovedNames
+from sloepond.resources.layered import LayeredMapping
 from sloepond.resources.model import (
     Backend,
-    BackendState,
     ConfigurationSnapshot,
     Hall,
     Kind,
     Location,
+    Region,
     Resource,
     Service,
-    ServiceLimits,
-    ServiceSpec,
     Zone,
 )
-from sloepond.resources.ordered import edited
+from sloepond.resources.slices import Slices, blocks, finished
+from sloepond.resources.sorted_items import SortedItems
 
 INCREMENTAL_LIMIT = 1_000
 """Changed resources above which a configuration is compiled from the start."""
+INDEXED_PER_UNIT = 2
+"""Back ends put into the indexes for about the cost of compiling one."""
+_PLACE_KINDS = frozenset((Kind.REGION.value, Kind.ZONE.value, Kind.HALL.value))
+_BACKEND_KIND = Kind.BACKEND.value
 
 
-class ResourceKey(msgspec.Struct, frozen=True, array_like=True, order=True):
+class ResourceKey(msgspec.Struct, frozen=True, array_like=True, order=True, gc=False):
     """Identity of a resource; keys sort by kind, then name."""
 
     kind: str
     name: str
 
 
-class CompiledBackend(msgspec.Struct, frozen=True):
-    """One back end of a service, with its place resolved."""
+_AFTER_BACKENDS = ResourceKey(_BACKEND_KIND + "\0", "")
+"""Sorts after every back end and before all other kinds."""
 
-    name: str
-    service: str
-    address: str
-    location: Location
-    slots: int
-    connections: int
-    weight: int
-    state: BackendState
-    permitted: bool
-    """Whether the service's place rules permit this back end's place."""
 
-    @property
-    def takes_new_flows(self) -> bool:
-        """Whether declared state and place let this back end take new flows."""
-        return self.permitted and self.state is BackendState.ACTIVE and self.weight > 0
+class GenerationContent(msgspec.Struct, frozen=True):
+    """All resources of one generation, in a form that is cheap to change."""
 
-
-class CompiledService(msgspec.Struct, frozen=True):
-    """One service and its back ends, sorted by name."""
-
-    name: str
-    address: str
-    spec: ServiceSpec
-    limits: ServiceLimits
-    backends: tuple[CompiledBackend, ...]
-    placeable: tuple[CompiledBackend, ...]
-    """Back ends that may take new flows: permitted, active, weight above 0."""
+    generation: int
+    digest: str
+    resources: SortedItems[Resource]
 
 
 class ConfigurationChange(msgspec.Struct, frozen=True):
@@ -85,6 +77,7 @@
 class CompiledConfiguration:
     """Index of one generation.
 
+    :ivar content: all resources.
     :ivar generation: 0 where nothing is in force yet.
     :ivar change: what differs from the generation it was updated from; None
         where it was compiled from the start.
@@ -98,50 +91,75 @@
         "backends_by_address",
         "backends_by_name",
         "change",
+        "content",
         "digest",
         "generation",
         "services_by_address",
         "services_by_name",
-        "snapshot",
     )
 
     def __init__(self, snapshot: ConfigurationSnapshot) -> None:
-        self.snapshot = snapshot
-        self.generation = snapshot.generation
-        self.digest = snapshot.digest
+        self._take_content(content_of(snapshot))
+        finished(self._compile())
+
+    @classmethod
+    def compile_slices(cls, content: GenerationContent) -> Slices[CompiledConfiguration]:
+        """Compile a generation from the start, in slices."""
+        result = cls.__new__(cls)
+        result._take_content(content)
+        yield from result._compile()
+        return result
+
+    def _take_content(self, content: GenerationContent) -> None:
+        self.content = content
+        self.generation = content.generation
+        self.digest = content.digest
         self.change: ConfigurationChange | None = None
-        self.backends_by_name: dict[str, CompiledBackend] = {}
-        self.backends_by_address: dict[str, CompiledBackend] = {}
-        self.services_by_address: dict[str, CompiledService] = {}
-        self.services_by_name: dict[str, CompiledService] = {}
-        self._locations = resolve_locations(snapshot.resources)
-        self._compile(snapshot.resources)
-
-    def _compile(self, resources: tuple[Resource, ...]) -> None:
-        declared: dict[str, list[Backend]] = {}
-        for resource in resources:
-            if isinstance(resource, Backend):
-                declared.setdefault(resource.spec.service, []).append(resource)
-        for resource in resources:
-            if isinstance(resource, Service):
-                self._add_service(resource, declared.get(resource.metadata.name, []))
-
-    def _add_service(self, service: Service, declared: list[Backend]) -> None:
-        ordered = sorted(declared, key=lambda backend: backend.metadata.name)
-        backends = tuple(_compile_backend(service.spec, backend, self._locations) for backend in ordered)
-        compiled = CompiledService(
-            name=service.metadata.name,
-            address=service.spec.address,
-            spec=service.spec,
-            limits=service.spec.limits,
-            backends=backends,
-            placeable=tuple(backend for backend in backends if backend.takes_new_flows),
-        )
-        self.services_by_address[compiled.address] = compiled
-        self.services_by_name[compiled.name] = compiled
-        for backend in backends:
-            self.backends_by_name[backend.name] = backend
-            self.backends_by_address[backend.address] = backend
+
+    @property
+    def snapshot(self) -> ConfigurationSnapshot:
+        """Return the generation as a snapshot, made anew at each call."""
+        return ConfigurationSnapshot(self.generation, self.digest, tuple(self.content.resources))
+
+    def _compile(self) -> Slices[None]:
+        resources = self.content.resources
+        others = without_backends(resources)
+        self._locations = resolve_locations(others)
+        specs = {item.metadata.name: item.spec for item in others if isinstance(item, Service)}
+        backends: dict[str, list[CompiledBackend]] = {name: [] for name in specs}
+        placeable: dict[str, list[CompiledBackend]] = {name: [] for name in specs}
+        for block in blocks(resources):
+            for resource in block:
+                if isinstance(resource, Backend) and resource.spec.service in specs:
+                    owner = resource.spec.service
+                    backend = compile_backend(specs[owner], resource, self._locations)
+                    backends[owner].append(backend)
+                    if backend.takes_new_flows:
+                        placeable[owner].append(backend)
+            yield len(block)
+        services = [
+            compile_service(name, specs[name], tuple(backends[name]), tuple(placeable[name]))
+            for name in specs
+        ]
+        self.services_by_name: Mapping[str, CompiledService] = {item.name: item for item in services}
+        self.services_by_address: Mapping[str, CompiledService] = {item.address: item for item in services}
+        yield from self._index_backends(services)
+
+    def _index_backends(self, services: list[CompiledService]) -> Slices[None]:
+        by_name: dict[str, CompiledBackend] = {}
+        by_address: dict[str, CompiledBackend] = {}
+        for service in services:
+            for block in blocks(service.backends):
+                by_name.update((backend.name, backend) for backend in block)
+                by_address.update((backend.address, backend) for backend in block)
+                yield len(block) // INDEXED_PER_UNIT
+        self.backends_by_name: Mapping[str, CompiledBackend] = LayeredMapping(by_name)
+        self.backends_by_address: Mapping[str, CompiledBackend] = LayeredMapping(by_address)
+
+    @property
+    def locations(self) -> Mapping[str, Location]:
+        """Return the location of each hall that has one, by its name."""
+        return self._locations
 
     def updated(
         self, generation: int, changed: Sequence[Resource], removed: Sequence[ResourceKey]
@@ -156,116 +174,89 @@
         :param removed: keys of resources that are gone; unknown ones are ignored.
         :raises KeyError: if a back end names a hall that is not declared.
         """
-        return self.updated_to(
-            updated_snapshot(self.snapshot, generation, changed, removed), changed, removed
-        )
+        content = finished(updated_content_slices(self.content, generation, changed, removed))
+        return finished(self.updated_to_slices(content, changed, removed))
 
-    def updated_to(
+    def updated_to_slices(
         self,
-        snapshot: ConfigurationSnapshot,
+        content: GenerationContent,
         changed: Sequence[Resource],
         removed: Sequence[ResourceKey],
-    ) -> CompiledConfiguration:
-        """Return the configuration of a snapshot that `updated_snapshot` made from this one.
+    ) -> Slices[CompiledConfiguration]:
+        """Compile what `updated_content_slices` made from this configuration, in slices.
 
         :raises KeyError: if a back end names a hall that is not declared.
         """
-        backend_kind = Kind.BACKEND.value
-        only_backends = all(isinstance(resource, Backend) for resource in changed) and all(
-            key.kind == backend_kind for key in removed
-        )
-        if not only_backends or len(changed) + len(removed) > INCREMENTAL_LIMIT:
-            return CompiledConfiguration(snapshot)
-        result = self._copy(snapshot)
-        names = result._update_backends(changed, removed)
-        result.change = ConfigurationChange(self.generation, names)
-        return result
-
-    def _copy(self, snapshot: ConfigurationSnapshot) -> CompiledConfiguration:
+        if len(changed) + len(removed) > INCREMENTAL_LIMIT or not self._can_update(changed, removed):
+            return (yield from CompiledConfiguration.compile_slices(content))
         result = CompiledConfiguration.__new__(CompiledConfiguration)
-        result.snapshot = snapshot
-        result.generation = snapshot.generation
-        result.digest = snapshot.digest
+        result._take_content(content)
         result._locations = self._locations
-        result.backends_by_name = self.backends_by_name.copy()
-        result.backends_by_address = self.backends_by_address.copy()
-        result.services_by_address = self.services_by_address.copy()
-        result.services_by_name = self.services_by_name.copy()
+        if any(isinstance(resource, Region | Zone | Hall) for resource in changed) or any(
+            key.kind in _PLACE_KINDS for key in removed
+        ):
+            result._locations = resolve_locations(without_backends(content.resources))
+        update = IndexUpdate(self.services_by_name, self.backends_by_name, self._locations)
+        yield from update.change(changed, removed_names(removed), result._locations)
+        result._take_update(self, update)
         return result
 
-    def _update_backends(
-        self, changed: Sequence[Resource], removed: Sequence[ResourceKey]
-    ) -> tuple[str, ...]:
-        names = [resource.metadata.name for resource in changed]
-        names.extend(key.name for key in removed)
-        before = [self.backends_by_name[name] for name in names if name in self.backends_by_name]
-        after = self._compile_changed(changed)
-        self._replace_in_indexes(before, after)
-        for service in sorted({backend.service for backend in (*before, *after)}):
-            self._replace_in_service(service, before, after)
-        return tuple(dict.fromkeys(names))
-
-    def _compile_changed(self, changed: Sequence[Resource]) -> list[CompiledBackend]:
-        """Compile back ends whose service is declared; the others have no effect."""
-        compiled = []
-        for resource in changed:
-            if not isinstance(resource, Backend):
-                continue
-            service = self.services_by_name.get(resource.spec.service)
-            if service is not None:
-                compiled.append(_compile_backend(service.spec, resource, self._locations))
-        return compiled
-
-    def _replace_in_indexes(self, before: list[CompiledBackend], after: list[CompiledBackend]) -> None:
-        for backend in before:
-            self.backends_by_name.pop(backend.name, None)
-            self.backends_by_address.pop(backend.address, None)
-        for backend in after:
-            self.backends_by_name[backend.name] = backend
-            self.backends_by_address[backend.address] = backend
-
-    def _replace_in_service(
-        self, name: str, before: list[CompiledBackend], after: list[CompiledBackend]
-    ) -> None:
-        service = self.services_by_name[name]
-        gone = [backend.name for backend in before if backend.service == name]
-        present = [backend for backend in after if backend.service == name]
-        placeable = [backend for backend in present if backend.takes_new_flows]
-        replaced = msgspec.structs.replace(
-            service,
-            backends=edited(service.backends, _backend_name, gone, present),
-            placeable=edited(service.placeable, _backend_name, gone, placeable),
+    def _can_update(self, changed: Sequence[Resource], removed: Sequence[ResourceKey]) -> bool:
+        """Return whether the indexes name all that a change may concern.
+
+        Back ends of a service that is not declared are in no index, so where
+        there are some, a change of services compiles all from the start.
+        """
+        if only_backends(changed, removed):
+            return True
+        return backend_count(self.content.resources) == len(self.backends_by_name)
+
+    def _take_update(self, base: CompiledConfiguration, update: IndexUpdate) -> None:
+        self.services_by_name = update.services
+        self.services_by_address = {item.address: item for item in update.services.values()}
+        self.backends_by_name = _edited(
+            base.backends_by_name,
+            [backend.name for backend in update.gone],
+            {backend.name: backend for backend in update.present},
+        )
+        self.backends_by_address = _edited(
+            base.backends_by_address,
+            [backend.address for backend in update.gone],
+            {backend.address: backend for backend in update.present},
         )
-        self.services_by_name[name] = replaced
-        self.services_by_address[replaced.address] = replaced
-
-
-def _backend_name(backend: CompiledBackend) -> str:
-    return backend.name
-
-
-def _compile_backend(
-    service: ServiceSpec, backend: Backend, locations: dict[str, Location]
-) -> CompiledBackend:
-    location = locations[backend.spec.hall]
-    return CompiledBackend(
-        name=backend.metadata.name,
-        service=backend.spec.service,
-        address=backend.spec.address,
-        location=location,
-        slots=backend.spec.slots,
-        connections=backend.spec.connections,
-        weight=backend.spec.weight,
-        state=backend.spec.state,
-        permitted=is_place_permitted(service, location),
+        self.change = ConfigurationChange(base.generation, tuple(update.names))
+
+
+def _edited(
+    index: Mapping[str, CompiledBackend], removed: Sequence[str], added: dict[str, CompiledBackend]
+) -> Mapping[str, CompiledBackend]:
+    layered = index if isinstance(index, LayeredMapping) else LayeredMapping(dict(index))
+    return layered.edited(removed, added)
+
+
+def only_backends(changed: Sequence[Resource], removed: Sequence[ResourceKey]) -> bool:
+    """Return whether a change concerns back ends alone."""
+    return all(isinstance(resource, Backend) for resource in changed) and all(
+        key.kind == _BACKEND_KIND for key in removed
     )
 
 
-def is_place_permitted(service: ServiceSpec, location: Location) -> bool:
-    """Return whether traffic of `service` may go to `location`; denied wins."""
-    if any(selector.matches(location) for selector in service.denied):
-        return False
-    return any(selector.matches(location) for selector in service.permitted)
+def backend_count(resources: Sequence[Resource]) -> int:
+    """Return how many back ends are among resources sorted by key; these come first."""
+    return bisect.bisect_left(resources, _AFTER_BACKENDS, key=resource_key)
+
+
+def without_backends(resources: Sequence[Resource]) -> tuple[Resource, ...]:
+    """Return all other kinds among resources sorted by key."""
+    return tuple(resources[backend_count(resources) :])
+
+
+def removed_names(removed: Sequence[ResourceKey]) -> RemovedNames:
+    """Return the names of back ends and services among removed keys."""
+    return RemovedNames(
+        backends=tuple(key.name for key in removed if key.kind == _BACKEND_KIND),
+        services=tuple(key.name for key in removed if key.kind == Kind.SERVICE.value),
+    )
 
 
 def resolve_locations(resources: tuple[Resource, ...]) -> dict[str, Location]:
@@ -301,24 +292,32 @@
     return ConfigurationSnapshot(generation=generation, digest=digest_of(ordered), resources=ordered)
 
 
-def updated_snapshot(
-    base: ConfigurationSnapshot,
+def content_of(snapshot: ConfigurationSnapshot) -> GenerationContent:
+    """Return a snapshot, whose resources are sorted, in a form that is cheap to change."""
+    resources: SortedItems[Resource] = SortedItems(snapshot.resources, resource_key)
+    return GenerationContent(snapshot.generation, snapshot.digest, resources)
+
+
+def updated_content_slices(
+    base: GenerationContent,
     generation: int,
     changed: Sequence[Resource],
     removed: Sequence[ResourceKey],
-) -> ConfigurationSnapshot:
-    """Return the snapshot after a change; only what changed is hashed.
+) -> Slices[GenerationContent]:
+    """Return the resources after a change, in slices; only what changed is hashed.
 
     :param changed: resources that are new or differ; at most one of a key.
     :param removed: keys of resources that are gone; unknown ones are ignored.
     """
-    keys = {*removed, *map(resource_key, changed)}
-    former = [resource for key in keys if (resource := find_resource(base.resources, key)) is not None]
-    return ConfigurationSnapshot(
-        generation=generation,
-        digest=updated_digest(base.digest, added=changed, removed=former),
-        resources=edited(base.resources, resource_key, keys, changed),
-    )
+    former: list[Resource] = []
+    if base.resources:
+        for block in blocks(dict.fromkeys((*removed, *map(resource_key, changed)))):
+            found = (find_resource(base.resources, key) for key in block)
+            former.extend(resource for resource in found if resource is not None)
+            yield len(block)
+    digest = yield from updated_digest_slices(base.digest, added=changed, removed=former)
+    resources = yield from base.resources.edited_slices(removed, changed)
+    return GenerationContent(generation, digest, resources)
 
 
 def find_resource(resources: Sequence[Resource], key: ResourceKey) -> Resource | None:
@@ -338,12 +337,17 @@
     "CompiledConfiguration",
     "CompiledService",
     "ConfigurationChange",
+    "GenerationContent",
     "Kind",
     "ResourceKey",
+    "backend_count",
+    "content_of",
     "find_resource",
     "is_place_permitted",
     "make_snapshot",
+    "only_backends",
     "resolve_locations",
     "resource_key",
-    "updated_snapshot",
+    "updated_content_slices",
+    "without_backends",
 ]
--- /dev/null
+++ b/sloepond/resources/compiled_items.py
@@ -0,0 +1,99 @@
+"""The parts of a compiled configuration: services and back ends with their places.
+
+`is_place_permitted` is the one place filter of the system; every path that picks
+a back end goes through it.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from sloepond.resources.model import Backend, BackendState, Location, ServiceLimits, ServiceSpec
+
+
+class CompiledBackend(msgspec.Struct, frozen=True, gc=False):
+    """One back end of a service, with its place resolved."""
+
+    name: str
+    service: str
+    address: str
+    location: Location
+    slots: int
+    connections: int
+    weight: int
+    state: BackendState
+    permitted: bool
+    """Whether the service's place rules permit this back end's place."""
+
+    @property
+    def takes_new_flows(self) -> bool:
+        """Whether declared state and place let this back end take new flows."""
+        return self.permitted and self.state is BackendState.ACTIVE and self.weight > 0
+
+
+class CompiledService(msgspec.Struct, frozen=True, gc=False):
+    """One service and its back ends, sorted by name."""
+
+    name: str
+    address: str
+    spec: ServiceSpec
+    limits: ServiceLimits
+    backends: tuple[CompiledBackend, ...]
+    placeable: tuple[CompiledBackend, ...]
+    """Back ends that may take new flows: permitted, active, weight above 0."""
+
+
+def compile_backend(
+    service: ServiceSpec, backend: Backend, locations: dict[str, Location]
+) -> CompiledBackend:
+    """Return a back end with its place resolved and judged.
+
+    :raises KeyError: if its hall has no location.
+    """
+    location = locations[backend.spec.hall]
+    return CompiledBackend(
+        name=backend.metadata.name,
+        service=backend.spec.service,
+        address=backend.spec.address,
+        location=location,
+        slots=backend.spec.slots,
+        connections=backend.spec.connections,
+        weight=backend.spec.weight,
+        state=backend.spec.state,
+        permitted=is_place_permitted(service, location),
+    )
+
+
+def is_place_permitted(service: ServiceSpec, location: Location) -> bool:
+    """Return whether traffic of `service` may go to `location`; denied wins."""
+    if any(selector.matches(location) for selector in service.denied):
+        return False
+    return any(selector.matches(location) for selector in service.permitted)
+
+
+def relocated_backend(
+    service: ServiceSpec, backend: CompiledBackend, locations: dict[str, Location]
+) -> CompiledBackend:
+    """Return a back end after a change of its service or of places; the same one if nothing differs.
+
+    :raises KeyError: if its hall has no location any more.
+    """
+    location = locations[backend.location.hall]
+    permitted = is_place_permitted(service, location)
+    if permitted == backend.permitted and location == backend.location:
+        return backend
+    return msgspec.structs.replace(backend, location=location, permitted=permitted)
+
+
+def compile_service(
+    name: str,
+    spec: ServiceSpec,
+    backends: tuple[CompiledBackend, ...],
+    placeable: tuple[CompiledBackend, ...],
+) -> CompiledService:
+    """Return a service with its back ends.
+
+    :param backends: sorted by name.
+    :param placeable: those that take new flows, sorted by name.
+    """
+    return CompiledService(name, spec.address, spec, spec.limits, backends, placeable)
--- a/sloepond/resources/digest.py
+++ b/sloepond/resources/digest.py
@@ -43,9 +43,7 @@
     return finished(updated_digest_slices(digest, added, removed))
 
 
-def updated_digest_slices(
-    digest: str, added: Iterable[Resource], removed: Iterable[Resource]
-) -> Slices[str]:
+def updated_digest_slices(digest: str, added: Iterable[Resource], removed: Iterable[Resource]) -> Slices[str]:
     """Do the work of `updated_digest` in slices."""
     total = int(digest, 16)
     for block in blocks(added):
--- a/sloepond/resources/model.py
+++ b/sloepond/resources/model.py
@@ -3,6 +3,9 @@
 Operators keep these documents in version control.  A set of them with one
 generation number is a `ConfigurationSnapshot`: it is taken as a whole or not at
 all.  Nothing here reads files; parsing and validation live beside this module.
+
+Resources are trees of values and so never part of a reference cycle.  Hence
+`gc=False`: the garbage collector passes over the many thousands of them.
 """
 
 from __future__ import annotations
@@ -37,7 +40,7 @@
     DRAINING = "draining"
 
 
-class Location(msgspec.Struct, frozen=True):
+class Location(msgspec.Struct, frozen=True, gc=False):
     """Where a machine stands: a hall, in a zone, in a region."""
 
     region: str
@@ -45,7 +48,7 @@
     hall: str
 
 
-class PlaceSelector(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class PlaceSelector(msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True, omit_defaults=True):
     """Selects locations; an unset field matches every value."""
 
     region: str | None = None
@@ -61,30 +64,30 @@
         return self.hall is None or self.hall == location.hall
 
 
-class Metadata(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class Metadata(msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True, omit_defaults=True):
     """Name (unique within a kind) and free-form labels of a resource."""
 
     name: str
     labels: dict[str, str] = {}
 
 
-class RegionSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class RegionSpec(msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True):
     """A region has no fields of its own."""
 
 
-class ZoneSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class ZoneSpec(msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True):
     """A zone belongs to one region."""
 
     region: str
 
 
-class HallSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class HallSpec(msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True):
     """A data hall belongs to one zone."""
 
     zone: str
 
 
-class ServiceLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class ServiceLimits(msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True, omit_defaults=True):
     """Admission limits of one service on one balancer, and its time limits."""
 
     flows: int = 400_000
@@ -97,7 +100,7 @@
     """Seconds without a packet after which a flow's state is dropped."""
 
 
-class ServiceSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class ServiceSpec(msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True, omit_defaults=True):
     """A virtual address and the places its traffic may and may not go."""
 
     address: str
@@ -112,7 +115,7 @@
     limits: ServiceLimits = ServiceLimits()
 
 
-class BackendSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class BackendSpec(msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True, omit_defaults=True):
     """One target of one service."""
 
     service: str
@@ -128,14 +131,16 @@
     state: BackendState = BackendState.ACTIVE
 
 
-class Status(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+class Status(msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True, omit_defaults=True):
     """What is known of a resource in force; never written by operators."""
 
     generation: int = 0
     message: str = ""
 
 
-class Region(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="kind", rename="camel"):
+class Region(
+    msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True, tag_field="kind", rename="camel"
+):
     """Resource of kind Region."""
 
     api_version: str
@@ -144,7 +149,9 @@
     status: Status = Status()
 
 
-class Zone(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="kind", rename="camel"):
+class Zone(
+    msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True, tag_field="kind", rename="camel"
+):
     """Resource of kind Zone."""
 
     api_version: str
@@ -153,7 +160,9 @@
     status: Status = Status()
 
 
-class Hall(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="kind", rename="camel"):
+class Hall(
+    msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True, tag_field="kind", rename="camel"
+):
     """Resource of kind Hall."""
 
     api_version: str
@@ -162,7 +171,9 @@
     status: Status = Status()
 
 
-class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="kind", rename="camel"):
+class Service(
+    msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True, tag_field="kind", rename="camel"
+):
     """Resource of kind Service."""
 
     api_version: str
@@ -171,7 +182,9 @@
     status: Status = Status()
 
 
-class Backend(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="kind", rename="camel"):
+class Backend(
+    msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True, tag_field="kind", rename="camel"
+):
     """Resource of kind Backend."""
 
     api_version: str
--- a/sloepond/resources/ordered.py
+++ b/sloepond/resources/ordered.py
@@ -26,6 +26,8 @@
     :param added: items to put in; an item of the same key is replaced.
     """
     gone = {*removed, *map(key_of, added)}
+    if not gone:
+        return tuple(ordered)
     if len(gone) > BULK_LIMIT:
         kept = [item for item in ordered if key_of(item) not in gone]
         return tuple(sorted([*kept, *added], key=key_of))
--- /dev/null
+++ b/sloepond/resources/sharing.py
@@ -0,0 +1,42 @@
+"""Equal values of decoded resources kept in memory once.
+
+Each resource is decoded with values of its own, though thousands of back ends
+name the same service and hall and have neither labels nor a status.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterable
+
+from msgspec.structs import force_setattr
+
+from sloepond.resources.model import API_VERSION, Backend, Resource, Status
+from sloepond.resources.slices import Slices, blocks
+
+SHARED_PER_UNIT = 2
+"""Back ends whose values are shared for about the cost of compiling one."""
+
+_NO_STATUS = Status()
+_NO_LABELS: dict[str, str] = {}
+
+
+def share_values_slices(resources: Iterable[Resource]) -> Slices[None]:
+    """Replace values of back ends by equal ones that are kept once; no value changes."""
+    for block in blocks(resources):
+        for resource in block:
+            if isinstance(resource, Backend):
+                _share_values(resource)
+        yield len(block) // SHARED_PER_UNIT
+
+
+def _share_values(backend: Backend) -> None:
+    spec = backend.spec
+    force_setattr(spec, "service", sys.intern(spec.service))
+    force_setattr(spec, "hall", sys.intern(spec.hall))
+    if backend.api_version == API_VERSION:
+        force_setattr(backend, "api_version", API_VERSION)
+    if backend.status == _NO_STATUS:
+        force_setattr(backend, "status", _NO_STATUS)
+    if not backend.metadata.labels:
+        force_setattr(backend.metadata, "labels", _NO_LABELS)
--- a/sloepond/runtime/activity.py
+++ b/sloepond/runtime/activity.py
@@ -9,8 +9,6 @@
 
 from sloepond.core.events import (
     BackendProbed,
-    BackendReplyReceived,
-    CallerPacketReceived,
     ConfigurationReadUnchanged,
     Event,
     MachineListRead,
@@ -22,8 +20,8 @@
 ACTIVE_S = 2.0
 """Time after an event that is no routine during which timers are precise, in seconds."""
 
-BUSY_EVENTS = frozenset({CallerPacketReceived, BackendReplyReceived})
-"""Events that are never routine; the most frequent ones."""
+RENEWAL_S = 0.5
+"""Time after such an event in which further ones are not looked at, in seconds."""
 
 _ROUTINE_EVENTS = frozenset({BackendProbed, ConfigurationReadUnchanged, MachineListRead, TimerFired})
 
--- a/sloepond/runtime/dispatcher.py
+++ b/sloepond/runtime/dispatcher.py
@@ -8,7 +8,7 @@
 
 from sloepond.core.commands import Command, SendToBackend
 from sloepond.core.events import Event
-from sloepond.runtime.activity import ACTIVE_S, BUSY_EVENTS, is_routine
+from sloepond.runtime.activity import ACTIVE_S, RENEWAL_S, is_routine
 from sloepond.runtime.balancer_node import BalancerNode
 from sloepond.runtime.command_writer import CommandWriters
 
@@ -42,6 +42,7 @@
         self._writers = writers
         self._logger = logger
         self._active_until = clock() + ACTIVE_S
+        self._renew_from = 0.0
         self._logged_failures: set[tuple[type, type]] = set()
 
     def is_idle(self) -> bool:
@@ -56,8 +57,9 @@
         """Hand over one event and carry out what the node asks for."""
         clock = self._clock
         now = clock()
-        if type(event) in BUSY_EVENTS or not is_routine(event):
+        if now >= self._renew_from and not is_routine(event):
             self._active_until = now + ACTIVE_S
+            self._renew_from = now + RENEWAL_S
         try:
             commands = self._handle(event, now)
         except Exception as error:
--- a/sloepond/runtime/peer_outbox.py
+++ b/sloepond/runtime/peer_outbox.py
@@ -56,12 +56,11 @@
         encoded = encode_message(message)
         size = len(encoded)
         bundle = self._bundles.get(address)
-        if bundle is not None and _is_full(bundle, size):
-            del self._bundles[address]
-            self._send(address, bundle)
-            bundle = None
         if bundle is None:
             bundle = self._bundles[address] = _Bundle(message)
+        elif bundle.size + size > MAXIMUM_BUNDLE_BYTES or len(bundle.encoded) >= MAXIMUM_BUNDLE_MESSAGES:
+            self._send(address, bundle)
+            bundle = self._bundles[address] = _Bundle(message)
         bundle.encoded.append(encoded)
         bundle.size += size
         self._traffic.total_of(message).sent_bytes += size
@@ -85,8 +84,3 @@
         total.datagrams += 1
         total.sent_bytes += len(datagram) - bundle.size
         self._socket.send(datagram, parse_address(address))
-
-
-def _is_full(bundle: _Bundle, size: int) -> bool:
-    is_too_large = bundle.size + size > MAXIMUM_BUNDLE_BYTES
-    return is_too_large or len(bundle.encoded) >= MAXIMUM_BUNDLE_MESSAGES
--- a/sloepond/wire/edge.py
+++ b/sloepond/wire/edge.py
@@ -21,7 +21,9 @@
 MAXIMUM_REQUEST_ID = 2**62
 """Largest request id, so that sums of two still fit into 64 bits."""
 
-MAXIMUM_ATTEMPT = 65_535
+MAXIMUM_ATTEMPT = 2**31 - 1
+"""Largest attempt; the core draws 31-bit numbers for the runs of a request."""
+
 MAXIMUM_TIMEOUT_MS = 86_400_000
 MAXIMUM_PARTS = 65_535
 MAXIMUM_LOAD = 2**31 - 1
