A back end's refusal proves something of the packet it answers only

Probe finding: the keepalive of a new primary had request id -1, which the wire format refuses. Change: runs are numbered and refused one by one; a cancellation has a number of its own; a repeatable request is refused only by a primary that knows all its copies; the keepalive's id is in range, and the routing tests encode what goes to back ends.

--- a/features/routing/at_most_once.feature
+++ b/features/routing/at_most_once.feature
@@ -17,6 +17,11 @@
   Scenario: Told not run means not run
     Then routing property: a refusal is never followed or preceded by an execution
 
+  Scenario: A refusal of a cancellation proves nothing about the request
+    Given a routing cell of three balancers
+    When routing has a request run, its back end restarted and the request cancelled before the answer
+    Then routing does not say that the request was not run
+
   Scenario: An entry lost on every replica is found at its back end
     Given a routing cell of three balancers
     When routing loses all entries of an established flow
--- a/features/steps/routing_cell.py
+++ b/features/steps/routing_cell.py
@@ -8,7 +8,7 @@
 from sloepond.core.context import NodeContext
 from sloepond.core.health.load_estimate import UNKNOWN_LOAD
 from sloepond.core.messages import Member, View
-from sloepond.core.packets import BackendReply, BackendReplyKind, CallerPacketKind
+from sloepond.core.packets import BackendPacket, BackendReply, BackendReplyKind, CallerPacketKind
 from sloepond.core.routing.local_load import LocalBackendLoad
 from sloepond.core.routing.replication import MemberIdentity
 from sloepond.core.routing.router import PacketRouter
@@ -30,6 +30,7 @@
     Zone,
     ZoneSpec,
 )
+from sloepond.wire.edge import decode_backend_packet, encode_packet
 
 SERVICE = "127.0.100.1:7000"
 PARTITIONS = 16
@@ -184,6 +185,8 @@
             self.collect(target[6:])
 
     def _run_backend(self, address: str, source: str, packet) -> None:
+        packet = decode_backend_packet(encode_packet(packet))
+        assert isinstance(packet, BackendPacket), packet
         kind = BackendReplyKind.ALIVE
         if packet.kind is CallerPacketKind.OPEN:
             self.held.setdefault(packet.flow, address)
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -16,7 +16,7 @@
 from sloepond.core.routing.ring import Ring
 from sloepond.resources.model import Location
 
-PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=60)
+PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=150)
 NAMES = "abc"
 FLOW = FlowKey(SERVICE, "127.0.0.1:1", 7)
 
@@ -199,6 +199,16 @@
     check()
 
 
+def change_primary(cell, data) -> None:
+    """Drop the flow's primary from the view everywhere, in any order."""
+    partition = cell.states["a"].table.partition_of(FLOW)
+    dropped = cell.states["a"].ring.replicas_of(partition)[0].name
+    view = View(2, tuple(make_member(name) for name in NAMES if name != dropped))
+    for name in data.draw(st.permutations(NAMES)):
+        cell.change_view(name, view)
+        deliver_in_any_order(cell, data)
+
+
 @then("routing property: a refusal is never followed or preceded by an execution")
 def refusals_are_true(_):
     @PROPERTY
@@ -212,6 +222,10 @@
             if data.draw(st.booleans()):
                 cell.caller_sends(name, CallerPacket(CallerPacketKind.CANCEL, FLOW, 1))
             deliver_in_any_order(cell, data)
+            if data.draw(st.booleans()):
+                cell.held.clear()
+            if data.draw(st.booleans()) and cell.memberships["a"].view.epoch == 1:
+                change_primary(cell, data)
         cell.settle(6.0)
         if CallerReplyKind.REFUSED in kinds_of(cell):
             assert not cell.executed
@@ -219,6 +233,36 @@
     check()
 
 
+def deliver_all_but_answers(cell) -> None:
+    while True:
+        waiting = [index for index, (_, _, message) in enumerate(cell.network) if not is_answer(message)]
+        if not waiting:
+            return
+        cell.deliver(waiting[0])
+
+
+def is_answer(message) -> bool:
+    return isinstance(message, BackendReply) and message.kind is BackendReplyKind.ANSWER
+
+
+@when("routing has a request run, its back end restarted and the request cancelled before the answer")
+def cancelled_after_restart(context):
+    context.cell = established_cell()
+    context.cell.caller_sends("a", request())
+    deliver_all_but_answers(context.cell)
+    context.cell.held.clear()
+    context.cell.caller_sends("a", CallerPacket(CallerPacketKind.CANCEL, FLOW, 1))
+    deliver_all_but_answers(context.cell)
+    context.cell.run_timers(1.0)
+    deliver_all_but_answers(context.cell)
+
+
+@then("routing does not say that the request was not run")
+def not_said(context):
+    assert [request_id for _, _, request_id in context.cell.executed] == [1]
+    assert CallerReplyKind.REFUSED not in kinds_of(context.cell)
+
+
 @when("routing loses all entries of an established flow")
 def loses_entries(context):
     context.cell = established_cell()
--- a/features/steps/runtime_steps.py
+++ b/features/steps/runtime_steps.py
@@ -23,6 +23,8 @@
 from sloepond.core.context import NEVER
 from sloepond.core.counters import Counters
 from sloepond.core.settings import NodeSettings
+from sloepond.lab.bench.bare_loop import BareLoop
+from sloepond.lab.bench.memory import measure_memory
 from sloepond.resources.compiled import make_snapshot
 from sloepond.resources.model import API_VERSION, ConfigurationSnapshot, Location, Metadata, Region
 from sloepond.runtime.daemon import BalancerDaemon
@@ -592,3 +594,31 @@
 @then("only the idle runtime deadline was rounded up")
 def step_idle_rounded(context):
     assert context.fired_at == [[5.05], [5.011]], context.fired_at
+
+
+@when("the runtime bench opens {count:d} flows")
+def step_bench_memory(context, count):
+    context.figure = measure_memory(count)
+
+
+@then("the runtime bench reports {count:d} flows and their memory")
+def step_bench_memory_figure(context, count):
+    assert context.figure.flows == count, context.figure
+    assert context.figure.resident_after >= context.figure.resident_before > 0
+
+
+@when("the runtime bench runs {count:d} batches of the bare loop")
+def step_bench_bare(context, count):
+    async def run():
+        context.bare_loop = BareLoop()
+        for _ in range(count):
+            await context.bare_loop.run_batch()
+        context.bare_loop.close()
+
+    trio.run(run)
+
+
+@then("the runtime bench counted {count:d} packets and their processor time")
+def step_bench_bare_counted(context, count):
+    assert context.bare_loop.packets == count
+    assert context.bare_loop.stopwatch.seconds > 0
--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -35,7 +35,7 @@
 
 addresses = st.sampled_from(["10.1.2.3:99", "[2001:db8::1]:65535", ""])
 flows = st.builds(packets.FlowKey, addresses, addresses, st.integers(0, 2**64 - 1))
-request_ids = st.integers(0, edge.MAXIMUM_REQUEST_ID)
+request_ids = st.integers(0, packets.MAXIMUM_REQUEST_ID)
 attempts = st.integers(0, edge.MAXIMUM_ATTEMPT)
 waits = st.integers(0, edge.MAXIMUM_TIMEOUT_MS)
 loads = st.none() | st.builds(packets.LoadReport, st.integers(0, 9), st.integers(0, 2**31 - 1))
@@ -353,7 +353,7 @@
     taken = [item for item in context.decoded if type(item) in PACKET_DECODERS]
     assert taken and failures.OUT_OF_RANGE in context.decoded
     for packet in taken:
-        assert 0 <= packet.request_id <= edge.MAXIMUM_REQUEST_ID
+        assert 0 <= packet.request_id <= packets.MAXIMUM_REQUEST_ID
         assert packet.flow.incarnation >= 0
         assert isinstance(edge.encode_packet(packet), bytes)
 
--- a/sloepond/core/requests/delivery.py
+++ b/sloepond/core/requests/delivery.py
@@ -66,16 +66,21 @@
         pending.handed_at = context.now
         context.counters.requests_handed_over += 1
         packet = pending.packet
+        run = self._draw_run()
+        pending.open_runs.add(run)
         outgoing = BackendPacket(
             kind=CallerPacketKind.REQUEST,
             flow=packet.flow,
             request_id=packet.request_id,
-            attempt=context.random.getrandbits(_RUN_BITS),
+            attempt=run,
             timeout_ms=max(1, int(remaining * _MILLISECONDS)),
             payload=packet.payload,
         )
         context.emit(SendToBackend(pending.flow.backend_address, outgoing))
 
+    def _draw_run(self) -> int:
+        return self._state.context.random.getrandbits(_RUN_BITS) or 1
+
     def repeat(self, pending: PendingRequest) -> None:
         """Hand a request that may be repeated over once more, as its caller asks again."""
         is_due = self._state.context.now - pending.handed_at >= _REPEAT_AFTER_S
@@ -101,10 +106,10 @@
         pending = self._store.get(reply.flow, reply.request_id)
         if pending is None or pending.stage is not RequestStage.HANDED_OVER:
             return
-        pending.refusals += 1
         if reply.kind is BackendReplyKind.CANCELLED:
-            self._refuse(pending, Reason.CANCELLED)
-        else:
+            if pending.take_cancellation(reply.attempt):
+                self._refuse(pending, Reason.CANCELLED)
+        elif pending.take_refusal(reply.attempt):
             self._retry_or_refuse(pending)
 
     def _retry_or_refuse(self, pending: PendingRequest) -> None:
@@ -128,15 +133,17 @@
         self._state.context.counters.requests_retried += 1
         self.hand_over(pending)
 
-    def backend_lost(self, flow: Flow, request_id: int) -> PendingRequest | None:
-        """Note that the back end does not hold the flow: the request was not run there.
+    def backend_lost(self, reply: BackendReply) -> PendingRequest | None:
+        """Note that the back end does not hold the flow: that run was not run there.
 
-        :returns: the request, to be resumed or refused; None if there is none.
+        :returns: the request, to be resumed or refused, where no other run of it
+            is open; None otherwise.
         """
-        pending = self._store.get(flow.key, request_id)
+        pending = self._store.get(reply.flow, reply.request_id)
         if pending is None or pending.stage is not RequestStage.HANDED_OVER:
             return None
-        pending.refusals += 1
+        if not pending.take_refusal(reply.attempt):
+            return None
         pending.stage = RequestStage.BACKING_OFF
         return pending
 
@@ -154,5 +161,6 @@
         pending.is_cancelled = True
         if pending.is_with_backend:
             key, request_id = pending.key
-            outgoing = BackendPacket(CallerPacketKind.CANCEL, key, request_id)
+            pending.cancel_run = self._draw_run()
+            outgoing = BackendPacket(CallerPacketKind.CANCEL, key, request_id, pending.cancel_run)
             self._state.context.emit(SendToBackend(pending.flow.backend_address, outgoing))
--- a/sloepond/core/requests/handler.py
+++ b/sloepond/core/requests/handler.py
@@ -141,7 +141,7 @@
             self._store.say_unknown(packet, Reason.NO_LEASE, self._store.retry_after_ms)
             return
         deadline = self._admission.deadline_of(packet)
-        pending = PendingRequest(flow, partition, packet, is_repeatable, deadline, runs={})
+        pending = PendingRequest(flow, partition, packet, is_repeatable, deadline, open_runs=set(), runs={})
         if packet.attempt == 0:
             pending.first_copy_at = self._state.context.now
         self._store.add(pending)
@@ -170,7 +170,7 @@
 
     def _act_on_claim(self, pending: PendingRequest) -> None:
         if pending.is_cancelled:
-            self._store.conclude_not_run(pending, Reason.CANCELLED)
+            self._refusals.refuse(pending, Reason.CANCELLED)
         elif pending.stage is RequestStage.REFUSING:
             self._store.conclude_not_run(pending, pending.refusal_reason)
         else:
@@ -184,9 +184,9 @@
         """Take a back end's word that it has not run a request."""
         self._delivery.not_run_received(reply)
 
-    def backend_lost(self, flow: Flow, request_id: int) -> PendingRequest | None:
+    def backend_lost(self, reply: BackendReply) -> PendingRequest | None:
         """Note that the back end does not hold the flow; see `Delivery.backend_lost`."""
-        return self._delivery.backend_lost(flow, request_id)
+        return self._delivery.backend_lost(reply)
 
     def resume(self, pending: PendingRequest, flow: Flow) -> None:
         """Hand a request over again after its flow was found at another back end."""
@@ -210,6 +210,6 @@
         if pending.is_with_backend and not pending.runs:
             self._state.health.silence_observed(pending.flow.backend)
         if pending.is_claimed and not pending.is_with_backend:
-            self._store.conclude_not_run(pending, Reason.DEADLINE_PASSED)
+            self._refusals.refuse(pending, Reason.DEADLINE_PASSED)
         else:
             self._store.conclude_unknown(pending, Reason.DEADLINE_PASSED, outcomes.FINAL)
--- a/sloepond/core/requests/pending.py
+++ b/sloepond/core/requests/pending.py
@@ -37,8 +37,9 @@
     :ivar leased_until: end of the lease under which the request id was claimed.
     :ivar first_copy_at: when the copy with attempt 0 came, `NOT_RECEIVED` if not.
     :ivar hand_overs: times the request was sent to the back end.
+    :ivar open_runs: numbers of the runs the back end has not said it has not run.
+    :ivar cancel_run: number sent with the cancellation, 0 before there is one.
     :ivar runs: parts of the answer by run number and part.
-    :ivar refusals: times the back end said that it has not run it.
     """
 
     flow: Flow
@@ -54,7 +55,8 @@
     first_copy_at: float = NOT_RECEIVED
     handed_at: float = 0.0
     hand_overs: int = 0
-    refusals: int = 0
+    open_runs: set[int] = set()
+    cancel_run: int = 0
     runs: dict[int, dict[int, BackendReply]] = {}
 
     @property
@@ -65,7 +67,27 @@
     @property
     def is_with_backend(self) -> bool:
         """Whether a copy may be running at the back end."""
-        return self.hand_overs > self.refusals
+        return bool(self.open_runs)
+
+    def take_refusal(self, run: int) -> bool:
+        """Note that a run was not run; return whether no run is open any more.
+
+        A back end's refusal proves something only of the very packet it answers.
+        """
+        if run not in self.open_runs:
+            return False
+        self.open_runs.discard(run)
+        return not self.open_runs
+
+    def take_cancellation(self, number: int) -> bool:
+        """Note that the back end cancelled the request before it was started.
+
+        :returns: whether that is certain of every run: there was only one.
+        """
+        if number != self.cancel_run or len(self.open_runs) != 1:
+            return False
+        self.open_runs.clear()
+        return True
 
     def take_part(self, reply: BackendReply) -> bool:
         """Keep one part of an answer; return whether that answer is whole now.
--- a/sloepond/core/requests/refusals.py
+++ b/sloepond/core/requests/refusals.py
@@ -26,21 +26,17 @@
         it can be run afterwards.
         """
         pending.refusal_reason = reason
-        if pending.is_with_backend:
+        may_have_run = pending.repeatable and not self._knows_all_copies(pending)
+        if pending.is_with_backend or may_have_run:
             self._store.conclude_unknown(pending, reason, self._store.retry_after_ms)
         elif pending.is_claimed:
             self._store.conclude_not_run(pending, reason)
-        elif self._may_claim(pending):
+        elif self._claims.is_confirmed(pending.partition, pending.flow):
             pending.stage = RequestStage.REFUSING
             self._claims.start(pending)
         else:
             self._store.conclude_unknown(pending, reason, self._store.retry_after_ms)
 
-    def _may_claim(self, pending: PendingRequest) -> bool:
-        if not self._claims.is_confirmed(pending.partition, pending.flow):
-            return False
-        return not pending.repeatable or self._knows_all_copies(pending)
-
     def _knows_all_copies(self, pending: PendingRequest) -> bool:
         """Return whether no other balancer can have handed over a copy unnoticed.
 
--- a/sloepond/core/routing/router.py
+++ b/sloepond/core/routing/router.py
@@ -21,6 +21,7 @@
     PeerMessage,
 )
 from sloepond.core.packets import (
+    OWN_KEEPALIVE_ID,
     BackendPacket,
     BackendReply,
     BackendReplyKind,
@@ -43,7 +44,7 @@
 from sloepond.core.routing.state import RoutingState
 from sloepond.core.routing.sweep import FlowSweep
 from sloepond.core.routing.synchronization import PartitionSynchronizer
-from sloepond.core.routing.takeover import OWN_KEEPALIVE_ID, FlowTakeover
+from sloepond.core.routing.takeover import FlowTakeover
 from sloepond.core.routing.transfer import FlowTransfer
 from sloepond.resources.compiled import CompiledBackend
 
@@ -321,7 +322,7 @@
         """Look for the back end that holds a flow which its own back end does not know."""
         if flow is None or reply.request_id == OWN_KEEPALIVE_ID:
             return
-        pending = self.requests.backend_lost(flow, reply.request_id)
+        pending = self.requests.backend_lost(reply)
         key = flow.key
 
         def searched(outcome: SearchOutcome, backend: CompiledBackend | None) -> None:
--- a/sloepond/core/routing/takeover.py
+++ b/sloepond/core/routing/takeover.py
@@ -10,13 +10,9 @@
 from collections import deque
 
 from sloepond.core.commands import SendToBackend
-from sloepond.core.packets import BackendPacket, CallerPacketKind, FlowKey
+from sloepond.core.packets import OWN_KEEPALIVE_ID, BackendPacket, CallerPacketKind, FlowKey
 from sloepond.core.routing.state import RoutingState
 
-OWN_KEEPALIVE_ID = -1
-"""Request id of a balancer's own keepalive; the back end's answer to it is not
-passed on to the caller."""
-
 _STEP_S = 0.01
 _FLOWS_PER_STEP = 40
 """Keepalives per step: 4,000 a second."""
--- a/sloepond/lab/capacity/configuration_costs.py
+++ b/sloepond/lab/capacity/configuration_costs.py
@@ -38,6 +38,7 @@
 
 SPREAD_CELL = 3
 SPREAD_LOSS = 0.1
+ALL_CELLS = 0
 SPREAD_STEP_S = 0.05
 SPREAD_LIMIT_S = 30.0
 REPEATS = 5
@@ -57,6 +58,8 @@
 MEMORY = "memory of one configuration in force"
 MEMORY_PEAK = "more memory while a whole read is compared"
 MANY_CHANGES_BYTES = "encoded delta by changed targets"
+ORDINARY_MEAN = "time until in force everywhere, every cell reads, 10% loss, mean"
+ORDINARY_SLOWEST = "time until in force everywhere, every cell reads, 10% loss, slowest"
 SPREAD_MEAN = "time until in force everywhere, one cell reads, 10% loss, mean"
 SPREAD_SLOWEST = "time until in force everywhere, one cell reads, 10% loss, slowest"
 MACHINE_LIST_BYTES = "body of a read of the list of machines"
@@ -113,8 +116,11 @@
         ),
         *_measured(
             plan.spread_cells,
-            lambda cells: _measure_spread(cells, plan.spread_changes),
-            ((SPREAD_MEAN, "s"), (SPREAD_SLOWEST, "s")),
+            lambda cells: (
+                *_measure_spread(cells, ALL_CELLS, plan.spread_changes),
+                *_measure_spread(cells, 1, plan.spread_changes),
+            ),
+            ((ORDINARY_MEAN, "s"), (ORDINARY_SLOWEST, "s"), (SPREAD_MEAN, "s"), (SPREAD_SLOWEST, "s")),
             "cells of 3",
             design.CELLS,
             Shape.LOGARITHMIC,
@@ -261,9 +267,10 @@
     """A change was not in force everywhere within 30 s."""
 
 
-def _measure_spread(cells: int, changes: int) -> tuple[float, ...]:
+def _measure_spread(cells: int, reading_cells: int, changes: int) -> tuple[float, float]:
     """Return the mean and the longest time a change takes over all cells, seconds."""
-    fleet = HollowFleet(FleetPlan(cells, SPREAD_CELL, loss=SPREAD_LOSS, targets=10, reading_cells=1))
+    plan = FleetPlan(cells, SPREAD_CELL, loss=SPREAD_LOSS, targets=10, reading_cells=reading_cells)
+    fleet = HollowFleet(plan)
     fleet.form()
     _seconds_until_in_force(fleet)
     phases = random.Random(cells)
--- a/sloepond/lab/capacity/estimates.py
+++ b/sloepond/lab/capacity/estimates.py
@@ -267,7 +267,12 @@
             design.MEMORY_LIMIT / MEGABYTE,
             "line over targets",
         )
-        for cost in (configuration.SPREAD_MEAN, configuration.SPREAD_SLOWEST):
+        for cost in (
+            configuration.ORDINARY_MEAN,
+            configuration.ORDINARY_SLOWEST,
+            configuration.SPREAD_MEAN,
+            configuration.SPREAD_SLOWEST,
+        ):
             yield Estimate(role, cost, self.value(cost), "s", design.IN_FORCE_S, "line over log(cells)")
 
     def _platform(self) -> Iterator[Estimate]:
--- a/sloepond/lab/checkers/flows.py
+++ b/sloepond/lab/checkers/flows.py
@@ -50,7 +50,7 @@
 
 
 class _OpenFlow(msgspec.Struct, frozen=True):
-    """A flow that is established, at which back end and since when."""
+    """A flow that is established: which back end holds it, and since when."""
 
     backend: str
     since: float
@@ -70,7 +70,7 @@
         self._truth = truth
         self._patience_s = patience_s
         self._open: dict[FlowKey, _OpenFlow] = {}
-        self._accepted_by: dict[FlowKey, str] = {}
+        self._accepted: dict[FlowKey, dict[str, float]] = {}
         self._broken: set[FlowKey] = set()
         self.broken_at: list[float] = []
         self.established = 0
@@ -82,10 +82,12 @@
         """Flows established and not ended."""
         return len(self._open)
 
-    def flow_accepted(self, flow: FlowKey, backend: str) -> None:
+    def flow_accepted(self, flow: FlowKey, backend: str, now: float) -> None:
         """A back end has accepted a flow it did not hold."""
         if flow not in self._open:
-            self._accepted_by[flow] = backend
+            accepted = self._accepted.setdefault(flow, {})
+            accepted.pop(backend, None)
+            accepted[backend] = now
 
     def flow_established(self, flow: FlowKey, backend: str, now: float) -> None:
         """A caller received its first OPENED.
@@ -94,8 +96,9 @@
             then the one that accepted the flow last counts.
         """
         self.established += 1
-        accepted_by = self._accepted_by.pop(flow, "")
-        self._open[flow] = _OpenFlow(backend or accepted_by, now)
+        accepted = self._accepted.pop(flow, {})
+        holder = backend or next(reversed(accepted), "")
+        self._open[flow] = _OpenFlow(holder, accepted.get(holder, now))
         self.open_peak = max(self.open_peak, len(self._open))
 
     def executed(self, execution: Execution, now: float) -> None:
@@ -109,7 +112,7 @@
 
     def flow_ended(self, record: FlowRecord, times: ServiceTimes, now: float) -> None:
         """A caller closed its flow or gave it up."""
-        self._accepted_by.pop(record.flow, None)
+        self._accepted.pop(record.flow, None)
         flow = self._open.pop(record.flow, None)
         if flow is None or record.break_reason is BreakReason.NONE:
             return
--- a/sloepond/lab/world.py
+++ b/sloepond/lab/world.py
@@ -149,7 +149,7 @@
         self.place_checker.packet_arrived(backend.name, packet, opens, self.queue.now)
 
     def _flow_accepted(self, backend: BackendHost, packet: BackendPacket) -> None:
-        self.flow_checker.flow_accepted(packet.flow, backend.name)
+        self.flow_checker.flow_accepted(packet.flow, backend.name, self.queue.now)
 
     def _backend_execution(self, execution: Execution) -> None:
         now = self.queue.now
--- a/sloepond/wire/edge.py
+++ b/sloepond/wire/edge.py
@@ -9,7 +9,14 @@
 
 import msgspec
 
-from sloepond.core.packets import BackendPacket, BackendReply, CallerPacket, CallerReply, FlowKey
+from sloepond.core.packets import (
+    MAXIMUM_REQUEST_ID,
+    BackendPacket,
+    BackendReply,
+    CallerPacket,
+    CallerReply,
+    FlowKey,
+)
 from sloepond.wire.failures import MALFORMED, OUT_OF_RANGE, OVERSIZED, DecodeFailure
 
 MAXIMUM_PACKET_BYTES = 8_192
@@ -18,9 +25,6 @@
 MAXIMUM_ADDRESS_CHARACTERS = 64
 """Longest address text in a flow key; an IPv6 address with its port has at most 47."""
 
-MAXIMUM_REQUEST_ID = 2**62
-"""Largest request id, so that sums of two still fit into 64 bits."""
-
 MAXIMUM_ATTEMPT = 2**31 - 1
 """Largest attempt; the core draws 31-bit numbers for the runs of a request."""
 
