The demo fails where nothing is served; flows are found without hashing

Change: check_served; one index of flows, loads taken from answers every 2 ms, the probe plan is told of back ends only when some come or go; the limit of flows is told by its own reason.

--- a/features/standins/checking.feature
+++ b/features/standins/checking.feature
@@ -25,3 +25,7 @@
   Scenario: Imbalance compares requests per slot
     Given standins evidence of one request that was answered
     Then the standins balance of its service is 2 over 2 back ends
+
+  Scenario: A run in which nothing was run is found
+    Given standins evidence of one request that was answered
+    Then standins find that it was served, and that the same evidence without executions was not
--- a/features/steps/probe_steps.py
+++ b/features/steps/probe_steps.py
@@ -64,7 +64,7 @@
 @then("each probe scenario ran to its end and kept every promise")
 def probes_kept(context):
     broken = [
-        f"{name}: {result.broken if result else 'not run'}"
+        f"{name}: {(*result.broken, *result.notes) if result else 'not run'}"
         for name, result in context.probe_results.items()
         if result is None or result.broken
     ]
--- a/features/steps/standins_checking_steps.py
+++ b/features/steps/standins_checking_steps.py
@@ -21,7 +21,7 @@
 from sloepond.standins.balance import measure_balance
 from sloepond.standins.caller_plan import RequestPlan
 from sloepond.standins.caller_record import BreakReason, FlowRecord, FlowState, RequestOutcome, RequestRecord
-from sloepond.standins.checking import NEW_WORK_GRACE_S, Departure, Evidence, check_promises
+from sloepond.standins.checking import NEW_WORK_GRACE_S, Departure, Evidence, check_promises, check_served
 
 NOTE = RequestPlan(b"note", repeatable=False)
 BOOKING = "127.0.1.1:7000"
@@ -151,3 +151,9 @@
     assert measured["booking"].imbalance == imbalance
     assert measured["booking"].backends == backends
     assert measured["roster"].executed == 0
+
+
+@then("standins find that it was served, and that the same evidence without executions was not")
+def step_served(context):
+    assert check_served(context.evidence) == []
+    assert [found.promise for found in check_served(with_executions(context.evidence))] == ["served"]
--- a/sloepond/api/feed.py
+++ b/sloepond/api/feed.py
@@ -15,7 +15,7 @@
 from sloepond.api.changes import ChangeType, WatchEvent, bookmark, change_events, listing_events
 from sloepond.resources.compiled import CompiledConfiguration
 
-POLL_INTERVAL_S = 0.2
+POLL_INTERVAL_S = 0.5
 """Time between looks at the generation in force, in seconds."""
 BOOKMARK_INTERVAL_S = 15.0
 """Longest silence of a watch, in seconds."""
--- a/sloepond/core/counters.py
+++ b/sloepond/core/counters.py
@@ -19,7 +19,6 @@
     caller_packets_dropped: int = 0
     hop_limit_reached: int = 0
     flows_opened: int = 0
-    flows_placed_by_fallback: int = 0
     flows_refused: int = 0
     flows_lost: int = 0
     flows_closed: int = 0
@@ -72,7 +71,6 @@
     input_oversized: int = 0
     input_unauthenticated: int = 0
     input_replayed: int = 0
-    input_unknown_sender: int = 0
     handler_failures: int = 0
     sends_dropped: int = 0
     sends_failed: int = 0
--- a/sloepond/core/health/monitor.py
+++ b/sloepond/core/health/monitor.py
@@ -71,9 +71,13 @@
         """Take the configuration in force; new back ends start cold."""
         former = self._configuration
         self._configuration = configuration
-        for name in changed_backends(former, configuration):
+        changed = changed_backends(former, configuration)
+        for name in changed:
             self._backend_changed(name, former)
-        self._plan.set_backends(tuple(configuration.backends_by_name))
+        before = former.backends_by_name
+        after = configuration.backends_by_name
+        if any((name in before) != (name in after) for name in changed):
+            self._plan.set_backends(tuple(after))
         self._ejection.configuration_changed(configuration)
 
     def _backend_changed(self, name: str, former: CompiledConfiguration) -> None:
--- a/sloepond/core/health/probe_plan.py
+++ b/sloepond/core/health/probe_plan.py
@@ -19,7 +19,7 @@
 MAXIMUM_PROBES_PER_S = 20.0
 """Probes a balancer sends each second; rounds grow longer to keep to it."""
 _MAXIMUM_VISITS = 500
-_SHORTEST_TICK_S = 0.05
+_SHORTEST_TICK_S = 0.25
 _LONGEST_TICK_S = 1.0
 
 
--- a/sloepond/core/routing/flow_table.py
+++ b/sloepond/core/routing/flow_table.py
@@ -31,6 +31,7 @@
         all that the replicas of former epochs knew.
     :ivar fresh_above: see `FlowEntry.fresh_above`.
     :ivar last_active: seconds of the node's clock.
+    :ivar partition: partition of the flow, set by the table.
     :ivar placed_here: whether it counts in `LocalBackendLoad.open_flows`.
     """
 
@@ -46,6 +47,7 @@
     last_active: float = 0.0
     last_recorded: float = 0.0
     placed_here: bool = False
+    partition: int = 0
 
     def version(self) -> tuple[int, int]:
         """Return the order of this version of the entry."""
@@ -73,23 +75,27 @@
     :param load: counts the flows this balancer placed or took over as primary.
     """
 
-    __slots__ = ("_count", "_digests", "_load", "_names", "_partitions", "partitions")
+    __slots__ = ("_digests", "_index", "_load", "_names", "_partitions", "partitions")
 
     def __init__(self, partitions: int, load: LocalBackendLoad) -> None:
         self.partitions = partitions
         self._load = load
         self._partitions: list[dict[FlowKey, Flow]] = [{} for _ in range(partitions)]
         self._digests: list[int | None] = [0] * partitions
-        self._count = 0
+        self._index: dict[FlowKey, Flow] = {}
         self._names: dict[str, str] = {}
 
     def __len__(self) -> int:
-        return self._count
+        return len(self._index)
 
     def partition_of(self, key: FlowKey) -> int:
         """Return the partition a flow belongs to."""
         return flow_hash(key) % self.partitions
 
+    def find(self, key: FlowKey) -> Flow | None:
+        """Return the entry of a flow; its partition need not be known."""
+        return self._index.get(key)
+
     def get(self, partition: int, key: FlowKey) -> Flow | None:
         """Return the entry of a flow in its partition, None if there is none."""
         return self._partitions[partition].get(key)
@@ -99,10 +105,9 @@
         flow.backend = self._names.setdefault(flow.backend, flow.backend)
         flow.backend_address = self._names.setdefault(flow.backend_address, flow.backend_address)
         self._digests[partition] = None
-        entries = self._partitions[partition]
-        if flow.key not in entries:
-            self._count += 1
-        entries[flow.key] = flow
+        flow.partition = partition
+        self._partitions[partition][flow.key] = flow
+        self._index[flow.key] = flow
         return flow
 
     def remove(self, partition: int, key: FlowKey) -> Flow | None:
@@ -110,7 +115,7 @@
         flow = self._partitions[partition].pop(key, None)
         if flow is None:
             return None
-        self._count -= 1
+        del self._index[key]
         self._digests[partition] = None
         self.release(flow)
         return flow
--- a/sloepond/core/routing/opening.py
+++ b/sloepond/core/routing/opening.py
@@ -131,7 +131,10 @@
 
     def _choose(self, service: CompiledService, opening: _Opening) -> CompiledBackend | None:
         state = self._state
-        if opening.placements >= _MAXIMUM_PLACEMENTS or len(state.table) >= self._flow_limit(service):
+        if opening.placements >= _MAXIMUM_PLACEMENTS:
+            return None
+        if len(state.table) >= self._flow_limit(service):
+            opening.last_reason = Reason.FLOW_LIMIT
             return None
         allowed = [backend for backend in service.placeable if backend.name not in opening.excluded]
         if not allowed:
--- a/sloepond/core/routing/router.py
+++ b/sloepond/core/routing/router.py
@@ -49,6 +49,8 @@
 from sloepond.resources.compiled import CompiledBackend
 
 _MAXIMUM_WAITING_PACKETS = 16
+_LOAD_INTERVAL_S = 0.002
+"""Least time between two load reports taken from the answers of one back end."""
 
 PeerMessageHandler = Callable[[MemberIdentity, str, Any], None]
 """Takes the sender, its peer address and the message."""
@@ -68,6 +70,7 @@
         self._synchronizer = PartitionSynchronizer(state, self.transfer, self._takeover.partition_completed)
         self.requests = RequestHandler(state, self._replicator, self._lookup, self._synchronizer)
         self._sweep = FlowSweep(state, self.transfer)
+        self._load_due: dict[str, float] = {}
         self._waiting: dict[FlowKey, list[CallerPacket]] = {}
         self._handlers = self._make_handlers()
 
@@ -100,12 +103,13 @@
         if hops and self._is_held_request(packet):
             self.requests.repeat_held(packet)
             return
-        partition = state.table.partition_of(packet.flow)
+        flow = state.table.find(packet.flow)
+        partition = state.table.partition_of(packet.flow) if flow is None else flow.partition
         target = state.acting_primary(partition)
         if target is None:
             self._no_replica(packet)
         elif target.name == state.own_name:
-            self._handle_as_primary(partition, packet)
+            self._handle_as_primary(partition, flow, packet)
         elif hops < state.settings.routing.maximum_hops:
             state.context.counters.caller_packets_forwarded += 1
             message = CallerPacketForwarded(state.ring.epoch, hops + 1, packet)
@@ -129,9 +133,8 @@
             reply = outcomes.unknown(packet, Reason.NO_QUORUM, retry_after_ms)
             context.emit(SendToCaller(reply))
 
-    def _handle_as_primary(self, partition: int, packet: CallerPacket) -> None:
+    def _handle_as_primary(self, partition: int, flow: Flow | None, packet: CallerPacket) -> None:
         state = self._state
-        flow = state.table.get(partition, packet.flow)
         kind = packet.kind
         if kind is CallerPacketKind.OPEN:
             self._opener.open_received(partition, packet, flow)
@@ -251,8 +254,8 @@
         :param address: data address `ip:port` of the back end.
         """
         state = self._state
-        partition = state.table.partition_of(reply.flow)
-        flow = state.table.get(partition, reply.flow)
+        flow = state.table.find(reply.flow)
+        partition = state.table.partition_of(reply.flow) if flow is None else flow.partition
         if self._search.is_searching(reply.flow) and self._take_search_reply(address, reply):
             return
         if not self._may_speak_for(address, reply, flow):
@@ -280,6 +283,10 @@
         return service is not None and service.address == reply.flow.service_address
 
     def _take_load(self, address: str, reply: BackendReply) -> None:
+        now = self._state.context.now
+        if reply.kind is not BackendReplyKind.REFUSED and now < self._load_due.get(address, 0.0):
+            return
+        self._load_due[address] = now + _LOAD_INTERVAL_S
         backend = self._state.configuration.in_force.backends_by_address.get(address)
         if backend is None:
             return
--- a/sloepond/core/routing/state.py
+++ b/sloepond/core/routing/state.py
@@ -85,7 +85,10 @@
 
     def acting_primary(self, partition: int) -> Member | None:
         """Return the first reachable replica of a partition, if any."""
-        for member in self.ring.replicas_of(partition):
+        replicas = self.ring.replicas_of(partition)
+        if replicas and replicas[0].name == self.own_name:
+            return replicas[0]
+        for member in replicas:
             if self.membership.is_reachable(member.name):
                 return member
         return None
--- a/sloepond/demo/__main__.py
+++ b/sloepond/demo/__main__.py
@@ -17,7 +17,7 @@
 from sloepond.demo.running import run_demo, run_probe
 from sloepond.demo.scenario import DemoSettings
 from sloepond.demo.summary import print_summary
-from sloepond.standins.checking import check_promises
+from sloepond.standins.checking import check_promises, check_served
 from sloepond.standins.fabric_model import FabricSettings
 from sloepond.standins.workload import WorkloadSettings
 
@@ -101,7 +101,7 @@
     result = await run_demo(settings, console)
     if result is None:
         return EXIT_NOT_RUN
-    findings = check_promises(result.evidence)
+    findings = [*check_promises(result.evidence), *check_served(result.evidence)]
     print_summary(result, findings, console)
     if findings or result.stop.exit_code != 0:
         return EXIT_BROKEN
--- a/sloepond/demo/probes/outcome.py
+++ b/sloepond/demo/probes/outcome.py
@@ -105,8 +105,16 @@
     breaks = sorted({flow.break_reason for flow in flows} - {BreakReason.NONE})
     gaps = sum(flow.feed_gaps for flow in flows)
     items = sum(flow.feed_items for flow in flows)
+    unknown = [
+        f"unknown: flow {flow.flow.incarnation:x} at {flow.backend}, request {item.request_id}, "
+        f"attempts {item.attempts}, {Reason(item.reason).name} after {item.ended_at - item.started_at:.1f} s"
+        for flow in flows
+        for item in flow.requests
+        if item.outcome is RequestOutcome.UNKNOWN
+    ]
     return (
         f"flows: {len(flows)} ({states}) {' '.join(breaks)}".rstrip(),
         f"requests: {len(requests)} ({outcomes}) {' '.join(reasons)}".rstrip(),
         f"executions: {len(evidence.executions)}; feed items: {items}, {gaps} skipped",
+        *unknown[:MAXIMUM_DETAILS],
     )
--- a/sloepond/standins/checking.py
+++ b/sloepond/standins/checking.py
@@ -16,6 +16,7 @@
 from sloepond.resources.compiled import CompiledConfiguration
 from sloepond.standins.backend_model import Execution
 from sloepond.standins.caller_record import FlowRecord, FlowState, RequestOutcome, RequestRecord
+from sloepond.standins.caller_report import count_outcomes
 
 NEW_WORK_GRACE_S = 5.0
 """Seconds after which a leaving back end must get no new flow."""
@@ -31,6 +32,7 @@
     REFUSED_NOT_RUN = "refused-not-run"
     RUN_AT_MOST_ONCE = "run-at-most-once"
     LEAVING_IDLE = "leaving-idle"
+    SERVED = "served"
 
 
 class PromiseBroken(msgspec.Struct, frozen=True):
@@ -83,6 +85,18 @@
     ]
 
 
+def check_served(evidence: Evidence) -> list[PromiseBroken]:
+    """Return a finding where callers asked and nothing at all was answered.
+
+    Without it a run in which nothing works would keep every other promise.
+    """
+    answered = count_outcomes(evidence.flows)[RequestOutcome.ANSWERED]
+    if answered and evidence.executions:
+        return []
+    detail = f"{answered} requests answered, {len(evidence.executions)} run"
+    return [PromiseBroken(Promise.SERVED, detail)]
+
+
 def count_duplicates(evidence: Evidence) -> int:
     """Return how many requests that must not be repeated ran more than once."""
     return len(_check_repeats(evidence, _by_request(evidence.executions)))
