A request still running through a balancer that has left is not given up

By reading: the new primary asked the former one only for 3 s after it had left, while requests may run longer. Change: balancers outside the view are heard by their heartbeats, and are asked as long as they are.

--- a/features/routing/at_most_once.feature
+++ b/features/routing/at_most_once.feature
@@ -27,6 +27,11 @@
     When routing gets a cancellation and only then the request
     Then routing says that the request was not run, and it is not
 
+  Scenario: A request still running through a balancer that has left is not given up
+    Given a routing cell of three balancers
+    When routing has a request running for long through a balancer that has left the view
+    Then routing tells the caller to ask again, and the answer comes once
+
   Scenario: An entry lost on every replica is found at its back end
     Given a routing cell of three balancers
     When routing loses all entries of an established flow
--- a/features/steps/routing_cell.py
+++ b/features/steps/routing_cell.py
@@ -68,10 +68,14 @@
         self.lease = True
         self.settled_at = -100.0
         self.unreachable: set[str] = set()
+        self.heard_outside: set[str] = set()
 
     def has_lease(self) -> bool:
         return self.lease
 
+    def was_heard_lately(self, name: str) -> bool:
+        return name in self.heard_outside
+
     def lease_expires_at(self) -> float:
         return float("inf") if self.lease else 0.0
 
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -279,6 +279,37 @@
     assert not context.cell.executed
 
 
+@when("routing has a request running for long through a balancer that has left the view")
+def running_through_leaver(context):
+    cell = context.cell = established_cell()
+    cell.caller_sends("a", request())
+    deliver_all_but_answers(cell)
+    partition = cell.states["a"].table.partition_of(FLOW)
+    leaver = cell.states["a"].ring.replicas_of(partition)[0].name
+    view = View(2, tuple(make_member(name) for name in NAMES if name != leaver))
+    for name in NAMES:
+        cell.change_view(name, view)
+        cell.memberships[name].unreachable = {leaver}
+        cell.memberships[name].heard_outside = {leaver}
+    for _ in range(40):
+        deliver_all_but_answers(cell)
+        cell.run_timers(0.1)
+    context.asked = next(name for name in NAMES if name != leaver)
+    cell.caller_sends(context.asked, request(attempt=1))
+    deliver_all_but_answers(cell)
+
+
+@then("routing tells the caller to ask again, and the answer comes once")
+def asked_again(context):
+    cell = context.cell
+    unknown = [reply for reply in cell.replies if reply.kind is CallerReplyKind.UNKNOWN]
+    assert unknown
+    assert all(reply.retry_after_ms > 0 for reply in unknown)
+    cell.settle(0.5)
+    assert [reply.kind for reply in cell.replies].count(CallerReplyKind.ANSWER) == 1
+    assert len(cell.executed) == 1
+
+
 @when("routing loses all entries of an established flow")
 def loses_entries(context):
     context.cell = established_cell()
--- a/sloepond/core/membership/membership.py
+++ b/sloepond/core/membership/membership.py
@@ -14,7 +14,12 @@
 from sloepond.core.membership.announcements import Announcer
 from sloepond.core.membership.cell_state import CellState
 from sloepond.core.membership.changes import is_well_formed
-from sloepond.core.membership.heartbeat_sender import HeartbeatContent, HeartbeatSender, HeartbeatSource
+from sloepond.core.membership.heartbeat_sender import (
+    OUTSIDER_INTERVAL_S,
+    HeartbeatContent,
+    HeartbeatSender,
+    HeartbeatSource,
+)
 from sloepond.core.membership.heartbeats import MILLISECONDS, FailureDetector, PeerRecord
 from sloepond.core.membership.joining import Candidates, Joiner
 from sloepond.core.membership.lease import Lease
@@ -63,6 +68,10 @@
     suspected: bool
 
 
+_OUTSIDER_ROUNDS = 3.0
+"""Heartbeats a balancer outside the view may miss before it counts as gone."""
+
+
 class Membership:
     """This balancer's place in its cell.
 
@@ -139,6 +148,14 @@
         was_any_heard = any(heard >= since for heard in self._heard_outside.values())
         return not was_any_heard or self._heard_outside.get(name, since - 1.0) >= since
 
+    def was_heard_lately(self, name: str) -> bool:
+        """Return whether a balancer outside the view, such as one that leaves, is alive.
+
+        Balancers outside the view send a heartbeat each `OUTSIDER_INTERVAL_S`.
+        """
+        silence = self._context.now - self._heard_outside.get(name, float("-inf"))
+        return silence < _OUTSIDER_ROUNDS * OUTSIDER_INTERVAL_S
+
     def is_settled(self) -> bool:
         """Return whether all leases of former views are over."""
         return self._context.now >= self.settled_at
@@ -195,9 +212,9 @@
 
     def sign_of_life(self, sender: str, incarnation: int) -> None:
         """Take any authenticated message of a peer, of any kind, as proof of life."""
-        if self._cell.is_member:
+        if self._cell.is_member and sender in self._detector.records:
             self._detector.sign_of_life(sender, incarnation)
-        elif any(member.name == sender for member in self._cell.view.members):
+        elif self._cell.member(sender) is not None:
             self._heard_outside[sender] = self._context.now
 
     def machine_list_read(self, members: tuple[Member, ...]) -> None:
--- a/sloepond/core/requests/handler.py
+++ b/sloepond/core/requests/handler.py
@@ -122,9 +122,9 @@
         return False
 
     def _may_still_answer(self, name: str) -> bool:
-        """Return whether a former primary is a member or left a moment ago."""
+        """Return whether a former primary is a member, or has left and is still alive."""
         state = self._state
-        if state.membership.is_reachable(name):
+        if state.membership.is_reachable(name) or state.membership.was_heard_lately(name):
             return True
         is_member = any(member.name == name for member in state.ring_members())
         left_for = state.context.now - state.membership.view_changed_at
