A claim under way at a change of view is decided before ledgers are told

Change: an open claim is marked in the ledger once it is granted; until then it is denied to others, and lookups and digests wait for claims of former epochs.

--- a/features/routing/at_most_once.feature
+++ b/features/routing/at_most_once.feature
@@ -32,6 +32,11 @@
     When routing has a request running for long through a balancer that has left the view
     Then routing tells the caller to ask again, and the answer comes once
 
+  Scenario: A claim under way at a change of view is given up, and the request is run afterwards
+    Given a routing cell of three balancers
+    When routing changes the view while a claim is under way, and the caller asks again
+    Then routing answers the request, which ran once, and never calls its outcome unknown for good
+
   Scenario: An entry lost on every replica is found at its back end
     Given a routing cell of three balancers
     When routing loses all entries of an established flow
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -310,6 +310,31 @@
     assert len(cell.executed) == 1
 
 
+@when("routing changes the view while a claim is under way, and the caller asks again")
+def claim_under_way(context):
+    cell = context.cell = RoutingCell("abcd")
+    cell.caller_sends("a", open_packet())
+    cell.settle(0.5)
+    state = cell.states["a"]
+    primary = state.ring.replicas_of(state.table.partition_of(FLOW))[0].name
+    cell.caller_sends(primary, request())
+    view = View(2, tuple(make_member(name) for name in "abcd" if name != primary))
+    for name in "abcd":
+        cell.change_view(name, view)
+    cell.settle(1.0)
+    cell.caller_sends(next(name for name in "abcd" if name != primary), request(attempt=1))
+    cell.settle(1.0)
+
+
+@then("routing answers the request, which ran once, and never calls its outcome unknown for good")
+def answered_after_change(context):
+    cell = context.cell
+    assert CallerReplyKind.ANSWER in kinds_of(cell)
+    assert len(cell.executed) == 1
+    unknown = [reply for reply in cell.replies if reply.kind is CallerReplyKind.UNKNOWN]
+    assert all(reply.retry_after_ms > 0 for reply in unknown)
+
+
 @when("routing loses all entries of an established flow")
 def loses_entries(context):
     context.cell = established_cell()
--- a/sloepond/core/requests/claims.py
+++ b/sloepond/core/requests/claims.py
@@ -11,7 +11,6 @@
 from sloepond.core.packets import Reason
 from sloepond.core.requests import ledger as ledgers
 from sloepond.core.requests import outcomes
-from sloepond.core.requests.ledger import Ledger
 from sloepond.core.requests.pending import PendingRequest, RequestStage
 from sloepond.core.requests.store import RequestStep, RequestStore
 from sloepond.core.routing.flow_table import LEDGER_LOST, Flow
@@ -141,24 +140,24 @@
     def _claim(self, pending: PendingRequest) -> None:
         flow = pending.flow
         request_id = pending.packet.request_id
-        if ledgers.is_used(flow.ledger, request_id):
+        if ledgers.is_used(flow.ledger, request_id) or self._replicator.has_open_claim(flow.key, request_id):
             self._store.conclude_unknown(pending, Reason.ALREADY_HANDED_OVER, self._store.retry_after_ms)
             return
         if pending.stage is not RequestStage.REFUSING:
             pending.stage = RequestStage.CLAIMING
         pending.leased_until = self._state.membership.lease_expires_at()
-        self._set_ledger(pending, ledgers.mark_used(flow.ledger, request_id))
 
         def recorded(outcome: RecordOutcome) -> None:
-            if outcome is RecordOutcome.NO_QUORUM:
-                self._set_ledger(pending, ledgers.unmark(flow.ledger, request_id))
+            if outcome is RecordOutcome.GRANTED:
+                self._mark_used(pending, flow, request_id)
             if self._store.is_current(pending):
                 self._recorded(pending, outcome)
 
         self._replicator.record(pending.partition, flow, request_id, recorded)
 
-    def _set_ledger(self, pending: PendingRequest, ledger: Ledger) -> None:
-        pending.flow.ledger = ledger
+    def _mark_used(self, pending: PendingRequest, flow: Flow, request_id: int) -> None:
+        held = self._state.table.get(pending.partition, flow.key) or flow
+        held.ledger = ledgers.mark_used(held.ledger, request_id)
         self._state.table.note_change(pending.partition)
 
     def _recorded(self, pending: PendingRequest, outcome: RecordOutcome) -> None:
--- a/sloepond/core/requests/ledger.py
+++ b/sloepond/core/requests/ledger.py
@@ -62,10 +62,3 @@
     if shift >= WINDOW:
         return first
     return Ledger(first.highest, first.bitmap | (second.bitmap << shift) & _MASK)
-
-
-def unmark(ledger: Ledger, request_id: int) -> Ledger:
-    """Return the ledger without the mark of one id inside the window."""
-    if request_id > ledger.highest or is_too_old(ledger, request_id):
-        return ledger
-    return Ledger(ledger.highest, ledger.bitmap & ~(1 << (ledger.highest - request_id)))
--- a/sloepond/core/routing/lookup.py
+++ b/sloepond/core/routing/lookup.py
@@ -15,6 +15,7 @@
 from sloepond.core.messages import FlowLookedUp, FlowLookupRequested, Member
 from sloepond.core.packets import FlowKey
 from sloepond.core.routing.flow_table import Flow, entry_of
+from sloepond.core.routing.replication import Replicator
 from sloepond.core.routing.ring import Ring, quorum_size
 from sloepond.core.routing.state import RoutingState
 
@@ -52,10 +53,11 @@
 class FlowLookup:
     """Asks former and present replicas, and answers such questions."""
 
-    __slots__ = ("_by_flow", "_by_token", "_next_token", "_state")
+    __slots__ = ("_by_flow", "_by_token", "_next_token", "_replicator", "_state")
 
-    def __init__(self, state: RoutingState) -> None:
+    def __init__(self, state: RoutingState, replicator: Replicator) -> None:
         self._state = state
+        self._replicator = replicator
         self._by_token: dict[int, _PendingLookup] = {}
         self._by_flow: dict[FlowKey, _PendingLookup] = {}
         self._next_token = 0
@@ -156,6 +158,8 @@
         """Answer another balancer's lookup from this balancer's table."""
         state = self._state
         partition = state.table.partition_of(message.flow)
+        if self._replicator.has_stale_claim(partition):
+            return
         flow = state.table.get(partition, message.flow)
         entry = None if flow is None else entry_of(flow, flow.ledger)
         state.context.send_to_peer(address, FlowLookedUp(state.ring.epoch, message.token, entry))
--- a/sloepond/core/routing/replication.py
+++ b/sloepond/core/routing/replication.py
@@ -17,7 +17,6 @@
 from sloepond.core.messages import FlowRecorded, FlowRecordRequested, Member
 from sloepond.core.packets import FlowKey
 from sloepond.core.requests import ledger as ledgers
-from sloepond.core.requests.ledger import Ledger
 from sloepond.core.routing.flow_table import Flow, contradicts, entry_of
 from sloepond.core.routing.ring import quorum_size
 from sloepond.core.routing.state import RoutingState
@@ -109,7 +108,8 @@
     def record(self, partition: int, flow: Flow, claim: int, callback: RecordCallback | None) -> None:
         """Record a flow on its replicas and call back once the outcome is known.
 
-        The caller has marked `claim` in the flow's own ledger already.
+        A claim is marked in the flow's own ledger by the caller, and only once it
+        is granted; until then it is open and denied to others here.
 
         :param claim: request id to claim, `NO_CLAIM` for none.
         """
@@ -123,7 +123,8 @@
         if claim != NO_CLAIM:
             self._open_claims.setdefault(flow.key, set()).add(claim)
         self._next_token += 1
-        entry = entry_of(flow, self._ledger_to_send(flow, claim))
+        ledger = flow.ledger if claim == NO_CLAIM else ledgers.mark_used(flow.ledger, claim)
+        entry = entry_of(flow, ledger)
         message = FlowRecordRequested(flow.epoch, self._next_token, entry, claim)
         awaited = {member.name: member for member in others}
         pending = _PendingRecord(self._next_token, flow, message, awaited, needed, callback)
@@ -133,12 +134,23 @@
             self._pending[pending.token] = pending
             self._send(pending)
 
-    def _ledger_to_send(self, flow: Flow, claim: int) -> Ledger:
-        ledger = flow.ledger
-        for open_claim in self._open_claims.get(flow.key, ()):
-            if open_claim != claim:
-                ledger = ledgers.unmark(ledger, open_claim)
-        return ledger
+    def has_open_claim(self, key: FlowKey, request_id: int) -> bool:
+        """Return whether this balancer is claiming a request id right now."""
+        return request_id in self._open_claims.get(key, ())
+
+    def has_stale_claim(self, partition: int) -> bool:
+        """Return whether a claim made in a former epoch is still undecided.
+
+        It is decided within `record_retry_s` of the change of view.  Until then
+        this balancer cannot tell others what its ledgers hold.
+        """
+        return any(
+            pending.claim != NO_CLAIM
+            and pending.callback is not None
+            and pending.epoch != self._state.ring.epoch
+            and pending.flow.partition == partition
+            for pending in self._pending.values()
+        )
 
     def _send(self, pending: _PendingRecord) -> None:
         context = self._state.context
@@ -230,6 +242,8 @@
 
     def _grant_claim(self, sender: MemberIdentity, partition: int, message: FlowRecordRequested) -> bool:
         key = (message.entry.flow, message.claim)
+        if self.has_open_claim(message.entry.flow, message.claim):
+            return False
         known = self._state.table.get(partition, message.entry.flow)
         if known is not None and ledgers.is_used(known.ledger, message.claim):
             return self._grants.get(key) == _Grant(sender, message.epoch)
--- a/sloepond/core/routing/router.py
+++ b/sloepond/core/routing/router.py
@@ -61,13 +61,15 @@
 
     def __init__(self, state: RoutingState) -> None:
         self._state = state
-        self._lookup = FlowLookup(state)
         self._replicator = Replicator(state)
+        self._lookup = FlowLookup(state, self._replicator)
         self._search = BackendSearch(state)
         self._opener = FlowOpener(state, self._replicator, self._lookup)
         self.transfer = FlowTransfer(state)
         self._takeover = FlowTakeover(state)
-        self._synchronizer = PartitionSynchronizer(state, self.transfer, self._takeover.partition_completed)
+        self._synchronizer = PartitionSynchronizer(
+            state, self.transfer, self._replicator, self._takeover.partition_completed
+        )
         self.requests = RequestHandler(state, self._replicator, self._lookup, self._synchronizer)
         self._sweep = FlowSweep(state, self.transfer)
         self._load_due: dict[str, float] = {}
--- a/sloepond/core/routing/synchronization.py
+++ b/sloepond/core/routing/synchronization.py
@@ -26,6 +26,7 @@
 )
 from sloepond.core.routing.completeness import FIRST_EPOCH, covers_former_epochs
 from sloepond.core.routing.flow_table import LEDGER_LOST
+from sloepond.core.routing.replication import Replicator
 from sloepond.core.routing.state import RoutingState
 from sloepond.core.routing.transfer import FlowTransfer
 
@@ -71,14 +72,22 @@
         "_completed",
         "_due",
         "_is_stepping",
+        "_replicator",
         "_round_epoch",
         "_state",
         "_tasks",
         "_transfer",
     )
 
-    def __init__(self, state: RoutingState, transfer: FlowTransfer, completed: Callable[[int], None]) -> None:
+    def __init__(
+        self,
+        state: RoutingState,
+        transfer: FlowTransfer,
+        replicator: Replicator,
+        completed: Callable[[int], None],
+    ) -> None:
         self._state = state
+        self._replicator = replicator
         self._completed = completed
         self._transfer = transfer
         self._tasks: dict[int, _Task] = {}
@@ -208,6 +217,8 @@
             if is_equal:
                 state.complete_epochs[partition] = state.ring.epoch
             return PartitionReport(partition, is_equal, state.complete_epochs[partition])
+        if self._replicator.has_stale_claim(partition):
+            return PartitionReport(partition, False, state.complete_epochs[partition])
         has_vote = is_equal or self._copy_to(member, partition)
         return PartitionReport(partition, has_vote, state.complete_epochs[partition])
 
