--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -6,6 +6,7 @@
 
 from sloepond.core.messages import Member, View
 from sloepond.core.packets import (
+    BackendPacket,
     BackendReply,
     BackendReplyKind,
     CallerPacket,
@@ -378,3 +379,27 @@
 def crossed_dropped(context):
     assert not any(reply.payload == b"not yours" for reply in context.cell.replies)
     assert sum(c.counters.answers_crossed for c in context.cell.contexts.values()) == 6
+
+
+@when("routing suspects the primary of an established flow")
+def suspects_primary(context):
+    cell = context.cell = established_cell()
+    state = cell.states["a"]
+    replicas = [member.name for member in state.ring.replicas_of(state.table.partition_of(FLOW))]
+    for name in NAMES:
+        cell.routers[name].start()
+        cell.memberships[name].unreachable = {replicas[0]}
+    context.stand_in = replicas[1]
+    cell.run_timers(1.0)
+
+
+@then("routing sends the flow's back end a keepalive that its caller does not see")
+def keepalive_sent(context):
+    sent = [(source, packet.flow) for source, _, packet in context.cell.network if is_keepalive(packet)]
+    assert sent == [(context.stand_in, FLOW)]
+    context.cell.settle(0.2)
+    assert CallerReplyKind.ALIVE not in kinds_of(context.cell, 0)
+
+
+def is_keepalive(packet) -> bool:
+    return isinstance(packet, BackendPacket) and packet.kind is CallerPacketKind.KEEPALIVE
--- a/sloepond/core/routing/router.py
+++ b/sloepond/core/routing/router.py
@@ -79,6 +79,7 @@
     def start(self) -> None:
         """Set the first timers."""
         self._sweep.start()
+        self._takeover.start()
 
     def use_policy(self, policy: PlacementPolicy) -> None:
         """Place new flows by another policy."""
