--- /dev/null
+++ b/sloepond/core/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding by routing token: each packet names its back end, no flow is stored."""
--- /dev/null
+++ b/sloepond/core/forwarding/counters.py
@@ -0,0 +1,37 @@
+"""Counters of the forwarding data path and of what it believes."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class ForwardingCounters(msgspec.Struct):
+    """Counts since the start of the process; names are those of the metrics."""
+
+    packets_received: int = 0
+    packets_forwarded: int = 0
+    packets_malformed: int = 0
+    sends_failed: int = 0
+    flows_placed: int = 0
+    second_choices: int = 0
+    resets_sent: int = 0
+    refused_no_route: int = 0
+    refused_no_backend: int = 0
+    refused_overloaded: int = 0
+    refused_unknown_token: int = 0
+    refused_no_token: int = 0
+    refused_not_configured: int = 0
+    refused_stale_knowledge: int = 0
+    refused_waited_too_long: int = 0
+    tokens_looked_up: int = 0
+    tokens_found_by_peers: int = 0
+    store_reads: int = 0
+    store_watches: int = 0
+    store_failures: int = 0
+    configurations_taken: int = 0
+    backend_changes: int = 0
+    stalls_detected: int = 0
+    peer_messages_received: int = 0
+    peer_messages_sent: int = 0
+    peer_messages_malformed: int = 0
+    log_lines_dropped: int = 0
--- /dev/null
+++ b/sloepond/core/forwarding/events.py
@@ -0,0 +1,144 @@
+"""Events and commands of the forwarding node: what happened, and what is to be done."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from sloepond.core.forwarding.backends import BackendRecord
+from sloepond.core.forwarding.routes import RouteConfiguration
+
+
+class Subject(enum.IntEnum):
+    """What is followed in the store."""
+
+    ROUTES = 0
+    BACKENDS = 1
+
+
+class StoreFailure(enum.Enum):
+    """Why a call to the store brought nothing."""
+
+    UNREACHABLE = "unreachable"
+    TIMED_OUT = "timed_out"
+    REFUSED = "refused"
+    """The store said that it did nothing."""
+    THROTTLED = "throttled"
+    HISTORY_LOST = "history_lost"
+    MALFORMED = "malformed"
+
+
+class RoutesRead(msgspec.Struct, frozen=True):
+    """The newest routes were read; none if there are none yet.
+
+    :ivar revision: the store's revision at the read.
+    """
+
+    revision: int
+    configuration: RouteConfiguration | None
+
+
+class BackendsRead(msgspec.Struct, frozen=True):
+    """The whole list of back ends was read."""
+
+    revision: int
+    records: tuple[BackendRecord, ...]
+
+
+class RoutesChanged(msgspec.Struct, frozen=True):
+    """A watch answered: the routes as they were written, oldest first."""
+
+    revision: int
+    configurations: tuple[RouteConfiguration, ...]
+
+
+class DepartedBackend(msgspec.Struct, frozen=True):
+    """A back end's entry is gone."""
+
+    name: str
+    revision: int
+
+
+class BackendsChanged(msgspec.Struct, frozen=True):
+    """A watch answered: changes in their order."""
+
+    revision: int
+    changes: tuple[BackendRecord | DepartedBackend, ...]
+
+
+class StoreCallFailed(msgspec.Struct, frozen=True):
+    """A call to the store brought nothing.
+
+    :ivar was_watch: whether it was a watch, not a read.
+    """
+
+    subject: Subject
+    reason: StoreFailure
+    was_watch: bool
+
+
+class TimerFired(msgspec.Struct, frozen=True):
+    """The time asked for by `next_deadline` has come (or later)."""
+
+
+class StopRequested(msgspec.Struct, frozen=True):
+    """A planned stop begins."""
+
+
+StoreEvent = RoutesRead | BackendsRead | RoutesChanged | BackendsChanged | StoreCallFailed
+Event = StoreEvent | TimerFired | StopRequested
+
+
+class ReadSubject(msgspec.Struct, frozen=True):
+    """Read everything of a subject from the store."""
+
+    subject: Subject
+
+
+class WatchSubject(msgspec.Struct, frozen=True):
+    """Wait for changes of a subject after a revision.
+
+    :ivar wait_s: how long the store may hold the call.
+    """
+
+    subject: Subject
+    after: int
+    wait_s: float
+
+
+class CompleteStop(msgspec.Struct, frozen=True):
+    """The process may end now."""
+
+
+class LogKind(enum.Enum):
+    """Kinds of change that are logged; see docs/OPERATIONS.md."""
+
+    STARTED = "started"
+    READY = "ready"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    STALLED = "stalled"
+    STORE_LOST = "store_lost"
+    STORE_REGAINED = "store_regained"
+    ROUTES_IN_FORCE = "routes_in_force"
+    BACKEND_CHANGED = "backend_changed"
+    FLOW_PLACED = "flow_placed"
+    PACKET_REFUSED = "packet_refused"
+    TOKEN_LOOKED_UP = "token_looked_up"
+    SETTINGS_CHANGED = "settings_changed"
+
+
+class WriteLog(msgspec.Struct, frozen=True):
+    """Write one line.
+
+    :ivar subject: what it is about.
+    :ivar detail: the inputs that decided, with age or version.
+    """
+
+    kind: LogKind
+    subject: str
+    detail: str = ""
+
+
+Command = ReadSubject | WatchSubject | CompleteStop | WriteLog
--- /dev/null
+++ b/sloepond/core/forwarding/follower.py
@@ -0,0 +1,114 @@
+"""Follows one subject in the store: read it all, then watch for changes.
+
+A watch that waits proves nothing about what came before it, so each watch that does
+not end as it should is followed by a read, and by one more read a little later.
+"""
+
+from __future__ import annotations
+
+import random
+
+from sloepond.core.forwarding.events import ReadSubject, StoreFailure, Subject, WatchSubject
+
+WATCH_WAIT_S = 2.5
+"""How long one watch is held.  An answer that is lost is noticed only after this."""
+RETRY_S = (0.0, 0.05, 0.15, 0.3, 0.5)
+"""Waits before the next try after that many failures in a row, at most the last."""
+THROTTLED_RETRY_S = 0.4
+"""The least wait after the store has refused for too many calls."""
+CONFIRM_AFTER_S = 1.2
+"""Time after a broken watch at which everything is read once more."""
+CONFIRM_INTERVAL_S = 20.0
+"""Time between reads of a subject whose watch goes on well."""
+NEVER = float("inf")
+
+StoreCall = ReadSubject | WatchSubject
+
+
+class Follower:
+    """What to ask the store next about one subject.
+
+    At most one read and one watch are under way at a time.
+
+    :ivar confirmed_at: when the last read of everything was answered.
+    :ivar heard_at: when the store last answered any call.
+    :ivar failures: calls in a row that brought nothing.
+    """
+
+    def __init__(self, subject: Subject, random_source: random.Random) -> None:
+        self._subject = subject
+        self._random = random_source
+        self._revision = 0
+        self._is_trusted = False
+        self._is_reading = False
+        self._is_watching = False
+        self._next_call = 0.0
+        self._confirm_at = -NEVER
+        self._was_broken = False
+        self.confirmed_at = -NEVER
+        self.heard_at = -NEVER
+        self.failures = 0
+
+    @property
+    def revision(self) -> int:
+        """The store's revision up to which changes are known."""
+        return self._revision
+
+    def next_deadline(self) -> float:
+        """Return when `on_time` has something to do."""
+        read_at = NEVER if self._is_reading else max(self._confirm_at, self._next_call)
+        watch_at = self._next_call if self._is_trusted and not self._is_watching else NEVER
+        return min(read_at, watch_at)
+
+    def on_time(self, now: float) -> list[StoreCall]:
+        """Return the calls that are due."""
+        calls: list[StoreCall] = []
+        if now < self._next_call:
+            return calls
+        if not self._is_reading and now >= self._confirm_at:
+            self._is_reading = True
+            calls.append(ReadSubject(self._subject))
+        if self._is_trusted and not self._is_watching:
+            self._is_watching = True
+            calls.append(WatchSubject(self._subject, self._revision, WATCH_WAIT_S))
+        return calls
+
+    def read(self, revision: int, now: float) -> None:
+        """Note that everything was read as of a revision."""
+        self._is_reading = False
+        self._is_trusted = True
+        self._revision = max(self._revision, revision)
+        self.confirmed_at = now
+        self.heard_at = now
+        self.failures = 0
+        self._next_call = now
+        interval = CONFIRM_INTERVAL_S * (0.75 + 0.5 * self._random.random())
+        self._confirm_at = now + (CONFIRM_AFTER_S if self._was_broken else interval)
+        self._was_broken = False
+
+    def watched(self, revision: int, now: float) -> None:
+        """Note that a watch was answered."""
+        self._is_watching = False
+        self._revision = max(self._revision, revision)
+        self.heard_at = now
+        self.failures = 0
+        self._next_call = now
+
+    def failed(self, reason: StoreFailure, was_watch: bool, now: float) -> None:
+        """Note that a call brought nothing; the next one reads everything."""
+        if was_watch:
+            self._is_watching = False
+        else:
+            self._is_reading = False
+        wait_s = RETRY_S[min(self.failures, len(RETRY_S) - 1)]
+        if reason is StoreFailure.THROTTLED:
+            wait_s = max(wait_s, THROTTLED_RETRY_S)
+        self.failures += 1
+        self._was_broken = True
+        self._is_trusted = False
+        self._confirm_at = now
+        self._next_call = now + wait_s * (0.5 + self._random.random())
+
+    def distrust(self, now: float) -> None:
+        """Read everything as soon as possible: what is known may be old."""
+        self._confirm_at = min(self._confirm_at, now)
--- /dev/null
+++ b/sloepond/core/forwarding/forwarder.py
@@ -0,0 +1,93 @@
+"""The data path: where each packet of a caller goes.
+
+An opening packet is given a back end.  Every other packet names its back end by the
+token it carries, so any balancer forwards it alike, whatever it knows of the flow.
+"""
+
+from __future__ import annotations
+
+import random
+
+from sloepond.core.forwarding.backends import NO_TOKEN, BackendDirectory, Decision, ForwardingBackend
+from sloepond.core.forwarding.counters import ForwardingCounters
+from sloepond.core.forwarding.flow_observer import FlowObserver
+from sloepond.core.forwarding.packets import Refusal, Segment
+from sloepond.core.forwarding.routes import Route, RouteTable
+from sloepond.core.forwarding.selection import SILENCE_S, Selector
+
+LAST_RESORT_S = 2.0
+"""How long a service without any back end goes on with those that left the list
+without a word: their entries may have lapsed while they live."""
+
+_NO_ROUTE = Decision(refusal=Refusal.NO_ROUTE, reset=True)
+_NOT_CONFIGURED = Decision(refusal=Refusal.NOT_CONFIGURED)
+_NO_BACKEND = Decision(refusal=Refusal.NO_BACKEND, reset=True)
+_NO_TOKEN = Decision(refusal=Refusal.NO_TOKEN)
+_UNKNOWN_TOKEN = Decision(refusal=Refusal.UNKNOWN_TOKEN, lookup=True)
+_STALE = Decision(refusal=Refusal.STALE_KNOWLEDGE)
+
+
+class Forwarder:
+    """Decides on packets; pure but for what it counts.
+
+    :ivar may_place: whether what is known is fresh enough to place new flows.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        routes: RouteTable,
+        backends: BackendDirectory,
+        counters: ForwardingCounters,
+        random_source: random.Random,
+    ) -> None:
+        self._routes = routes
+        self._backends = backends
+        self._counters = counters
+        self._selector = Selector(zone, random_source)
+        self.observer = FlowObserver()
+        self.may_place = True
+
+    def decide(self, segment: Segment, now: float) -> Decision:
+        """Return what becomes of a packet.
+
+        :param now: seconds of a monotonic clock.
+        """
+        if segment.is_opening:
+            return self._decide_opening(segment, now)
+        backend = self._backends.by_token(segment.token)
+        if backend is None:
+            return _NO_TOKEN if segment.token == NO_TOKEN else _UNKNOWN_TOKEN
+        self.observer.packet(segment, backend, now)
+        return backend.decision
+
+    def _decide_opening(self, segment: Segment, now: float) -> Decision:
+        if not self._routes.version:
+            return _NOT_CONFIGURED
+        if not self.may_place:
+            return _STALE
+        route = self._routes.find(segment.route_key)
+        if route is None:
+            return _NO_ROUTE
+        backend = self._place(segment, route, now)
+        if backend is None:
+            return _NO_BACKEND
+        self._counters.flows_placed += 1
+        self.observer.opening(segment, backend, now)
+        return backend.decision
+
+    def _place(self, segment: Segment, route: Route, now: float) -> ForwardingBackend | None:
+        copies = segment.acknowledgement
+        first = self.observer.known_backend(segment) if copies else None
+        if first is not None:
+            first.silences += 1
+            first.silent_until = now + SILENCE_S
+            self._counters.second_choices += 1
+            return self._choose(first.service, now, first.name)
+        return self._choose(self._routes.turns(route).next(), now, "")
+
+    def _choose(self, service: str, now: float, avoided: str) -> ForwardingBackend | None:
+        candidates = self._backends.candidates(service)
+        if not candidates:
+            candidates = self._backends.lately_departed(service, now - LAST_RESORT_S)
+        return self._selector.choose(candidates, now, avoided)
--- /dev/null
+++ b/sloepond/core/forwarding/node.py
@@ -0,0 +1,236 @@
+"""The forwarding node: one balancer's decisions by routing token, without any I/O.
+
+`decide` is the data path.  `handle` takes everything else that happens and returns
+what is to be done.
+"""
+
+from __future__ import annotations
+
+import random
+
+from sloepond.core.forwarding.backends import BackendDirectory, BackendRecord, Decision
+from sloepond.core.forwarding.counters import ForwardingCounters
+from sloepond.core.forwarding.events import (
+    BackendsChanged,
+    BackendsRead,
+    Command,
+    CompleteStop,
+    Event,
+    LogKind,
+    RoutesChanged,
+    RoutesRead,
+    StopRequested,
+    StoreCallFailed,
+    Subject,
+    TimerFired,
+    WriteLog,
+)
+from sloepond.core.forwarding.follower import NEVER, Follower
+from sloepond.core.forwarding.forwarder import Forwarder
+from sloepond.core.forwarding.packets import Segment
+from sloepond.core.forwarding.routes import RouteConfiguration, RouteTable
+
+STOP_FORWARD_S = 1.8
+"""How long a stopping balancer forwards on, so that routers notice it is not ready."""
+HOUSEKEEPING_S = 0.5
+"""Time between looks for what can be forgotten."""
+STALL_S = 0.6
+"""Lateness of a timer above which the process counts as having slept."""
+STALL_TRUST_S = 1.0
+"""How long after a stall new flows wait for a read of the store to be answered."""
+
+
+class ForwardingNode:
+    """One balancer.
+
+    :param zone: zone of this balancer.
+    :param random_source: seeded by the caller.
+    """
+
+    def __init__(self, zone: str, random_source: random.Random) -> None:
+        self.counters = ForwardingCounters()
+        self.routes = RouteTable(random_source)
+        self.backends = BackendDirectory()
+        self._forwarder = Forwarder(zone, self.routes, self.backends, self.counters, random_source)
+        self._followers = {
+            Subject.ROUTES: Follower(Subject.ROUTES, random_source),
+            Subject.BACKENDS: Follower(Subject.BACKENDS, random_source),
+        }
+        self._commands: list[Command] = []
+        self._now = 0.0
+        self._deadline = NEVER
+        self._housekeeping_at = 0.0
+        self._trust_again_at = NEVER
+        self._stalled_at = -NEVER
+        self._stop_at = NEVER
+        self.is_stopping = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether routers should send packets here."""
+        return self.routes.version > 0 and len(self.backends) > 0 and not self.is_stopping
+
+    @property
+    def flows_observed(self) -> int:
+        """Flows seen lately."""
+        return len(self._forwarder.observer)
+
+    def routes_age(self, now: float) -> float:
+        """Return seconds since the routes were last read or a watch of them answered."""
+        return now - self._followers[Subject.ROUTES].heard_at
+
+    def backends_age(self, now: float) -> float:
+        """Return seconds since the back ends were last read or a watch of them answered."""
+        return now - self._followers[Subject.BACKENDS].heard_at
+
+    def knowledge(self, now: float) -> str:
+        """Return versions and ages of what is known, for a log line."""
+        return (
+            f"routes={self.routes.version} routes_age_s={self.routes_age(now):.2f} "
+            f"backends_rev={self._followers[Subject.BACKENDS].revision} "
+            f"backends_age_s={self.backends_age(now):.2f}"
+        )
+
+    def start(self, now: float) -> list[Command]:
+        """Start; `now` in seconds of a monotonic clock."""
+        self._now = now
+        self._housekeeping_at = now + HOUSEKEEPING_S
+        self._ask_store()
+        return self._finish()
+
+    def decide(self, segment: Segment, now: float) -> Decision:
+        """Return what becomes of a caller's packet."""
+        return self._forwarder.decide(segment, now)
+
+    def handle(self, event: Event, now: float) -> list[Command]:
+        """Take one event; `now` never goes back."""
+        if now - self._deadline > STALL_S:
+            self._notice_stall(now - self._deadline)
+        self._now = now
+        if isinstance(event, TimerFired):
+            self._on_time()
+        elif isinstance(event, StopRequested):
+            self._request_stop()
+        else:
+            self._store_answered(event)
+        self._ask_store()
+        return self._finish()
+
+    def next_deadline(self) -> float:
+        """Return when to send `TimerFired` next."""
+        return self._deadline
+
+    def _finish(self) -> list[Command]:
+        deadline = min(self._housekeeping_at, self._stop_at, self._trust_again_at)
+        for follower in self._followers.values():
+            deadline = min(deadline, follower.next_deadline())
+        self._deadline = deadline
+        commands = self._commands
+        self._commands = []
+        return commands
+
+    def _ask_store(self) -> None:
+        for follower in self._followers.values():
+            self._commands.extend(follower.on_time(self._now))
+
+    def _store_answered(
+        self, event: RoutesRead | BackendsRead | RoutesChanged | BackendsChanged | StoreCallFailed
+    ) -> None:
+        if isinstance(event, StoreCallFailed):
+            self._store_failed(event)
+            return
+        subject = Subject.ROUTES if isinstance(event, RoutesRead | RoutesChanged) else Subject.BACKENDS
+        follower = self._followers[subject]
+        if follower.failures:
+            self._log(LogKind.STORE_REGAINED, subject.name.lower(), f"failures={follower.failures}")
+        if isinstance(event, RoutesRead):
+            self._take_routes(event.configuration)
+            follower.read(event.revision, self._now)
+        elif isinstance(event, RoutesChanged):
+            for configuration in event.configurations:
+                self._take_routes(configuration)
+            follower.watched(event.revision, self._now)
+        elif isinstance(event, BackendsRead):
+            self._take_list(event)
+            follower.read(event.revision, self._now)
+        else:
+            self._take_changes(event)
+            follower.watched(event.revision, self._now)
+        self._update_trust()
+
+    def _store_failed(self, event: StoreCallFailed) -> None:
+        self.counters.store_failures += 1
+        follower = self._followers[event.subject]
+        if not follower.failures:
+            self._log(LogKind.STORE_LOST, event.subject.name.lower(), f"reason={event.reason.value}")
+        follower.failed(event.reason, event.was_watch, self._now)
+
+    def _take_routes(self, configuration: RouteConfiguration | None) -> None:
+        if configuration is None or not self.routes.take(configuration):
+            return
+        self.counters.configurations_taken += 1
+        self._log(LogKind.ROUTES_IN_FORCE, str(configuration.version), f"routes={len(configuration.routes)}")
+
+    def _take_list(self, event: BackendsRead) -> None:
+        changed = self.backends.listed(event.records, event.revision, self._now)
+        self.counters.backend_changes += changed
+        if changed:
+            self._log(
+                LogKind.BACKEND_CHANGED,
+                "list",
+                f"changed={changed} listed={len(event.records)} rev={event.revision}",
+            )
+
+    def _take_changes(self, event: BackendsChanged) -> None:
+        for change in event.changes:
+            if isinstance(change, BackendRecord):
+                changed = self.backends.put(change, self._now)
+                state = change.state.name.lower()
+            else:
+                changed = self.backends.depart(change.name, change.revision, self._now)
+                state = "departed"
+            if changed:
+                self.counters.backend_changes += 1
+                self._log(LogKind.BACKEND_CHANGED, change.name, f"state={state} rev={change.revision}")
+
+    def _on_time(self) -> None:
+        if self._now >= self._stop_at:
+            self._stop_at = NEVER
+            self._commands.append(CompleteStop())
+        if self._now >= self._trust_again_at:
+            self._trust()
+        if self._now >= self._housekeeping_at:
+            self._housekeeping_at = self._now + HOUSEKEEPING_S
+            self.backends.forget_departed(self._now)
+            self._forwarder.observer.forget_resting(self._now)
+
+    def _notice_stall(self, late_s: float) -> None:
+        """Place no flow until what is known has been confirmed, for a while at most."""
+        self.counters.stalls_detected += 1
+        self._log(LogKind.STALLED, "process", f"late_s={late_s:.2f}")
+        now = self._deadline + late_s
+        self._forwarder.may_place = False
+        self._trust_again_at = now + STALL_TRUST_S
+        self._stalled_at = now
+        for follower in self._followers.values():
+            follower.distrust(now)
+
+    def _update_trust(self) -> None:
+        if self._forwarder.may_place:
+            return
+        if all(follower.confirmed_at > self._stalled_at for follower in self._followers.values()):
+            self._trust()
+
+    def _trust(self) -> None:
+        self._forwarder.may_place = True
+        self._trust_again_at = NEVER
+
+    def _request_stop(self) -> None:
+        if self.is_stopping:
+            return
+        self.is_stopping = True
+        self._stop_at = self._now + STOP_FORWARD_S
+        self._log(LogKind.STOPPING, "process", f"forwards_on_s={STOP_FORWARD_S}")
+
+    def _log(self, kind: LogKind, subject: str, detail: str) -> None:
+        self._commands.append(WriteLog(kind, subject, detail))
--- /dev/null
+++ b/sloepond/core/forwarding/packets.py
@@ -0,0 +1,58 @@
+"""What the data path sees of a packet, and what it decides about it."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+PORT_BITS = 16
+"""Bits of a port, below the address in the key of an endpoint."""
+
+
+class Segment(msgspec.Struct, gc=False):
+    """Head of one packet of a caller.
+
+    Addresses are the 32 bits of IPv4 in host order.
+
+    :ivar token: routing token the packet carries, 0 for none.
+    :ivar acknowledgement: next byte expected from the other end; for an opening
+        packet, how many copies of it went before.
+    :ivar length: bytes of data.
+    """
+
+    source: int
+    source_port: int
+    destination: int
+    destination_port: int
+    sequence: int
+    acknowledgement: int
+    length: int
+    is_opening: bool
+    is_closing: bool
+    is_reset: bool
+    token: int
+
+    @property
+    def route_key(self) -> int:
+        """Key of the endpoint the caller sent to."""
+        return self.destination << PORT_BITS | self.destination_port
+
+    @property
+    def flow_key(self) -> int:
+        """Key of the flow: both endpoints."""
+        caller = self.source << PORT_BITS | self.source_port
+        return caller << 48 | self.route_key
+
+
+class Refusal(enum.Enum):
+    """Why a packet is not forwarded."""
+
+    NO_ROUTE = "no_route"
+    NO_BACKEND = "no_backend"
+    OVERLOADED = "overloaded"
+    UNKNOWN_TOKEN = "unknown_token"
+    NO_TOKEN = "no_token"
+    NOT_CONFIGURED = "not_configured"
+    STALE_KNOWLEDGE = "stale_knowledge"
+    WAITED_TOO_LONG = "waited_too_long"
--- /dev/null
+++ b/sloepond/core/forwarding/routes.py
@@ -0,0 +1,121 @@
+"""Routes: which services the flows to an endpoint go to, and in what shares."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+
+class Share(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One service of a route.
+
+    :ivar weight: share of the route's load, relative to the other weights.
+    """
+
+    service: str
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True, array_like=True):
+    """One route.
+
+    :ivar key: endpoint callers send to; see `Segment.route_key`.
+    :ivar repeatable: whether its requests may run more than once.
+    :ivar timeout_s: how long its requests may take.
+    :ivar priority: 0 is the highest.
+    """
+
+    name: str
+    key: int
+    shares: tuple[Share, ...]
+    repeatable: bool = True
+    timeout_s: float = 2.0
+    priority: int = 0
+
+
+class RouteConfiguration(msgspec.Struct, frozen=True, array_like=True):
+    """One version of all routes.
+
+    :ivar version: grows with each change.
+    :ivar idle_timeout_s: rest after which a flow may be forgotten.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    idle_timeout_s: float = 15.0
+
+
+class WeightedTurns:
+    """Smooth weighted turns: exact over time, with an error below one at any moment.
+
+    Each balancer begins at a place of its own, so that the first few flows of many
+    balancers do not all go to the same service.
+
+    :param shares: at least one.
+    """
+
+    def __init__(self, shares: tuple[Share, ...], random_source: random.Random) -> None:
+        self._shares = shares
+        self._total = sum(share.weight for share in shares)
+        self._credits = [0.0] * len(shares)
+        if len(shares) > 1 and self._total > 0:
+            self._start_anywhere(random_source)
+
+    def _start_anywhere(self, random_source: random.Random) -> None:
+        """Draw the credits a long-running balancer would have at some moment."""
+        for _ in range(random_source.randrange(1 + int(min(self._total, 1000.0)))):
+            self.next()
+
+    def next(self) -> str:
+        """Return the service whose turn it is."""
+        credits = self._credits
+        best = 0
+        for index, share in enumerate(self._shares):
+            credits[index] += share.weight
+            if credits[index] > credits[best]:
+                best = index
+        credits[best] -= self._total
+        return self._shares[best].service
+
+
+class RouteTable:
+    """The version in force; an older one never replaces it."""
+
+    def __init__(self, random_source: random.Random) -> None:
+        self._random = random_source
+        self._routes: dict[int, Route] = {}
+        self._turns: dict[int, WeightedTurns] = {}
+        self.in_force = RouteConfiguration(0, ())
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 for none."""
+        return self.in_force.version
+
+    def take(self, configuration: RouteConfiguration) -> bool:
+        """Put a version in force if it is newer; return whether it is."""
+        if configuration.version <= self.version:
+            return False
+        routes = {route.key: route for route in configuration.routes}
+        turns = self._turns
+        self._turns = {
+            key: turns[key]
+            for key, route in routes.items()
+            if key in turns and self._routes[key].shares == route.shares
+        }
+        self._routes = routes
+        self.in_force = configuration
+        return True
+
+    def find(self, key: int) -> Route | None:
+        """Return the route of an endpoint."""
+        return self._routes.get(key)
+
+    def turns(self, route: Route) -> WeightedTurns:
+        """Return the turns of a route's services."""
+        turns = self._turns.get(route.key)
+        if turns is None:
+            turns = WeightedTurns(route.shares, self._random)
+            self._turns[route.key] = turns
+        return turns
--- /dev/null
+++ b/sloepond/platform/__main__.py
@@ -0,0 +1,19 @@
+"""Start of a balancer on the platform: bind first, so that nothing is lost, then load the rest."""
+
+from __future__ import annotations
+
+from sloepond.platform.binding import bind_sockets
+from sloepond.platform.settings import read_settings
+
+
+def main() -> None:
+    """Run a balancer until SIGTERM has stopped it."""
+    settings = read_settings()
+    sockets = bind_sockets(settings)
+    from sloepond.platform.balancer import run_balancer
+
+    run_balancer(settings, sockets)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sloepond/platform/binding.py
@@ -0,0 +1,37 @@
+"""Sockets of a balancer on the platform, bound before the slow imports."""
+
+from __future__ import annotations
+
+import socket
+
+from sloepond.runtime.forwarding.drivers import BoundSockets, ForwardingSettings
+
+RECEIVE_BUFFER_BYTES = 1024 * 1024
+BACKLOG = 64
+
+
+def bind_sockets(settings: ForwardingSettings) -> BoundSockets:
+    """Bind all sockets of a balancer.
+
+    :raises OSError: where an address cannot be bound.
+    """
+    edge = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    edge.setblocking(False)
+    edge.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    edge.bind(_endpoint(settings.edge))
+    metrics = _listen(settings.metrics) if settings.metrics else None
+    return BoundSockets(edge, _listen(settings.readiness), metrics)
+
+
+def _listen(address: str) -> socket.socket:
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setblocking(False)
+    listener.bind(_endpoint(address))
+    listener.listen(BACKLOG)
+    return listener
+
+
+def _endpoint(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/sloepond/platform/settings.py
@@ -0,0 +1,53 @@
+"""The platform's settings file: lines of `a.b=value`, lists joined by commas."""
+
+from __future__ import annotations
+
+import os
+
+from sloepond.runtime.forwarding.drivers import ForwardingSettings
+
+FILE_VARIABLE = "SLOEPOND_NODE_FILE"
+DEFAULT_FILE = "/etc/sloepond/node.conf"
+METRICS_PORT_OFFSET = 1
+"""Place of the port for metrics in `port_range`; the first is for peers."""
+
+
+def read_settings(path: str = "") -> ForwardingSettings:
+    """Read the settings file.
+
+    :param path: the file; if empty, the one named in the environment.
+    :raises OSError: where it cannot be read.
+    :raises KeyError: where a field that is needed is missing.
+    """
+    with open(path or os.environ.get(FILE_VARIABLE, DEFAULT_FILE), encoding="utf-8") as file:
+        return parse_settings(file.read())
+
+
+def parse_settings(text: str) -> ForwardingSettings:
+    """Return the settings in the text of a settings file; unknown fields are ignored."""
+    fields: dict[str, str] = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator:
+            fields[name.strip()] = value.strip()
+    first_port = _first_port(fields.get("port_range", ""))
+    return ForwardingSettings(
+        name=fields["node"],
+        zone=fields["zone"],
+        ip=fields["ip"],
+        edge=fields["listen.datagram_addr"],
+        readiness=fields["listen.readiness"],
+        store=fields["platform.addr"],
+        peer_port=first_port,
+        seeds=_seeds(fields),
+    )
+
+
+def _first_port(text: str) -> int:
+    first = text.partition(",")[0]
+    return int(first) if first.isdigit() else 0
+
+
+def _seeds(fields: dict[str, str]) -> tuple[str, ...]:
+    hosts = (seed.rpartition(":")[0] for seed in fields.get("seeds", "").split(","))
+    return tuple(host for host in hosts if host and host != fields["ip"])
--- /dev/null
+++ b/sloepond/runtime/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""I/O around the forwarding node; formats come from drivers."""
--- /dev/null
+++ b/sloepond/runtime/forwarding/data_path.py
@@ -0,0 +1,84 @@
+"""The data path on a socket: batches of datagrams in, datagrams out, never blocked."""
+
+from __future__ import annotations
+
+import socket
+
+import trio
+
+from sloepond.core.forwarding.backends import Decision
+from sloepond.core.forwarding.node import ForwardingNode
+from sloepond.core.forwarding.packets import Refusal, Segment
+from sloepond.runtime.clock import monotonic_seconds
+from sloepond.runtime.forwarding.drivers import PacketCodec
+from sloepond.runtime.forwarding.log_writer import LogWriter
+
+BATCH_DATAGRAMS = 64
+"""Datagrams read after one wait, so that no other task starves."""
+MAXIMUM_DATAGRAM_BYTES = 2_048
+
+
+class DataPath:
+    """Forwards callers' packets.
+
+    :param edge: bound, non-blocking UDP socket; packets also leave through it.
+    """
+
+    def __init__(
+        self, edge: socket.socket, codec: PacketCodec, node: ForwardingNode, logs: LogWriter
+    ) -> None:
+        self._edge = edge
+        self._codec = codec
+        self._node = node
+        self._logs = logs
+        self._counters = node.counters
+        self._refusal_counters = {refusal: f"refused_{refusal.value}" for refusal in Refusal}
+
+    async def run(self) -> None:
+        """Forward until cancelled."""
+        while True:
+            await trio.lowlevel.wait_readable(self._edge)
+            self.drain(monotonic_seconds())
+
+    def drain(self, now: float) -> int:
+        """Take what is there, at most one batch; return how many datagrams."""
+        receive = self._edge.recv
+        for taken in range(BATCH_DATAGRAMS):
+            try:
+                datagram = receive(MAXIMUM_DATAGRAM_BYTES)
+            except OSError:
+                return taken
+            self.packet(datagram, now)
+        return BATCH_DATAGRAMS
+
+    def packet(self, datagram: bytes, now: float) -> None:
+        """Decide on one packet and carry the decision out."""
+        self._counters.packets_received += 1
+        segment = self._codec.decode(datagram)
+        if segment is None:
+            self._counters.packets_malformed += 1
+            return
+        decision = self._node.decide(segment, now)
+        backend = decision.backend
+        if backend is None:
+            self._refuse(segment, decision)
+            return
+        self._counters.packets_forwarded += 1
+        self._send(self._codec.encode(datagram, backend), backend.endpoint)
+        if segment.is_opening:
+            self._logs.flow_placed(segment, backend, self._node)
+
+    def _refuse(self, segment: Segment, decision: Decision) -> None:
+        assert decision.refusal is not None
+        name = self._refusal_counters[decision.refusal]
+        setattr(self._counters, name, getattr(self._counters, name) + 1)
+        self._logs.packet_refused(segment, decision.refusal, self._node)
+        if decision.reset:
+            self._counters.resets_sent += 1
+            self._send(self._codec.encode_reset(segment), self._codec.caller_endpoint(segment))
+
+    def _send(self, datagram: bytes, endpoint: tuple[str, int]) -> None:
+        try:
+            self._edge.sendto(datagram, endpoint)
+        except OSError:
+            self._counters.sends_failed += 1
--- /dev/null
+++ b/sloepond/runtime/forwarding/drivers.py
@@ -0,0 +1,81 @@
+"""What a platform's adapter provides: formats and calls, nothing that decides."""
+
+from __future__ import annotations
+
+import abc
+import socket
+
+import msgspec
+
+from sloepond.core.forwarding.backends import ForwardingBackend
+from sloepond.core.forwarding.events import ReadSubject, StoreEvent, WatchSubject
+from sloepond.core.forwarding.packets import Segment
+
+
+class ForwardingSettings(msgspec.Struct, frozen=True):
+    """What a forwarding balancer needs to know at its start.
+
+    Addresses are `ip:port`.
+
+    :ivar name: name of this machine.
+    :ivar store: address of the platform's store.
+    :ivar metrics: where metrics are served, empty for nowhere.
+    :ivar peer_port: port of this and every other balancer for what they say to each
+        other, 0 for none.
+    :ivar seeds: IP addresses of balancers that may be up.
+    """
+
+    name: str
+    zone: str
+    ip: str
+    edge: str
+    readiness: str
+    store: str
+    metrics: str = ""
+    peer_port: int = 0
+    seeds: tuple[str, ...] = ()
+
+
+class BoundSockets(msgspec.Struct):
+    """Sockets bound before anything else is loaded, so that nothing sent to them is lost.
+
+    :ivar edge: UDP, callers' packets.
+    :ivar readiness: TCP, listening.
+    """
+
+    edge: socket.socket
+    readiness: socket.socket
+    metrics: socket.socket | None = None
+    peer: socket.socket | None = None
+
+
+class PacketCodec(abc.ABC):
+    """Format of packets."""
+
+    @abc.abstractmethod
+    def decode(self, datagram: bytes) -> Segment | None:
+        """Return the head of a caller's packet, None where it is none."""
+
+    @abc.abstractmethod
+    def encode(self, datagram: bytes, backend: ForwardingBackend) -> bytes:
+        """Return the packet as it is sent to a back end."""
+
+    @abc.abstractmethod
+    def encode_reset(self, segment: Segment) -> bytes:
+        """Return a packet that tells the caller that its flow was not opened."""
+
+    @abc.abstractmethod
+    def caller_endpoint(self, segment: Segment) -> tuple[str, int]:
+        """Return where packets for the caller are sent."""
+
+
+class StoreDriver(abc.ABC):
+    """Calls to the platform's store; every failure is an event, none is raised."""
+
+    @abc.abstractmethod
+    async def read(self, command: ReadSubject) -> StoreEvent:
+        """Read everything of a subject."""
+
+    @abc.abstractmethod
+    async def watch(self, command: WatchSubject) -> StoreEvent:
+        """Wait for changes of a subject."""
--- /dev/null
+++ b/sloepond/runtime/forwarding/log_writer.py
@@ -0,0 +1,111 @@
+"""Structured log lines on standard output: bounded in volume, never blocking.
+
+Each line is one JSON object.  A line that finds no room is dropped and counted.
+"""
+
+from __future__ import annotations
+
+import os
+from typing import Protocol
+
+import msgspec
+
+from sloepond.core.forwarding.backends import ForwardingBackend
+from sloepond.core.forwarding.counters import ForwardingCounters
+from sloepond.core.forwarding.events import LogKind, WriteLog
+from sloepond.core.forwarding.packets import PORT_BITS, Refusal, Segment
+from sloepond.runtime.clock import monotonic_seconds
+
+LINES_PER_S = 200.0
+"""Lines written a second over a longer time."""
+BURST_LINES = 400
+STANDARD_OUTPUT = 1
+PORT_MASK = (1 << PORT_BITS) - 1
+
+
+class LogLine(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One line.
+
+    :ivar at: seconds since the start of the process, by the steady clock.
+    """
+
+    at: float
+    kind: str
+    subject: str
+    detail: str = ""
+
+
+class KnowledgeVersions(Protocol):
+    """What tells how old the knowledge behind a decision is."""
+
+    def knowledge(self, now: float) -> str:
+        """Return versions and ages, for a log line."""
+
+
+class LogWriter:
+    """Writes lines of the data path and of the node.
+
+    :param counters: counts lines that were dropped.
+    """
+
+    def __init__(self, counters: ForwardingCounters, descriptor: int = STANDARD_OUTPUT) -> None:
+        self._counters = counters
+        self._descriptor = descriptor
+        self._started = monotonic_seconds()
+        self._allowed = float(BURST_LINES)
+        self._refilled_at = self._started
+        self._encoder = msgspec.json.Encoder()
+        os.set_blocking(descriptor, False)
+
+    def write(self, command: WriteLog) -> None:
+        """Write a line about the node."""
+        self._write(command.kind, command.subject, command.detail)
+
+    def flow_placed(self, segment: Segment, backend: ForwardingBackend, node: KnowledgeVersions) -> None:
+        """Write a line about a new flow and its back end."""
+        if self._may_write():
+            detail = (
+                f"backend={backend.name} service={backend.service} copy={segment.acknowledgement} "
+                f"backend_flows={backend.flows} in_flight={backend.in_flight} "
+                f"{node.knowledge(monotonic_seconds())}"
+            )
+            self._put(LogKind.FLOW_PLACED, flow_name(segment), detail)
+
+    def packet_refused(self, segment: Segment, refusal: Refusal, node: KnowledgeVersions) -> None:
+        """Write a line about a packet that goes nowhere."""
+        if self._may_write():
+            detail = f"reason={refusal.value} token={segment.token:08x} {node.knowledge(monotonic_seconds())}"
+            self._put(LogKind.PACKET_REFUSED, flow_name(segment), detail)
+
+    def _write(self, kind: LogKind, subject: str, detail: str) -> None:
+        if self._may_write():
+            self._put(kind, subject, detail)
+
+    def _may_write(self) -> bool:
+        now = monotonic_seconds()
+        refill = (now - self._refilled_at) * LINES_PER_S
+        self._allowed = min(BURST_LINES, self._allowed + refill)
+        self._refilled_at = now
+        if self._allowed < 1.0:
+            self._counters.log_lines_dropped += 1
+            return False
+        self._allowed -= 1.0
+        return True
+
+    def _put(self, kind: LogKind, subject: str, detail: str) -> None:
+        line = LogLine(round(monotonic_seconds() - self._started, 4), kind.value, subject, detail)
+        try:
+            os.write(self._descriptor, self._encoder.encode(line) + b"\n")
+        except OSError:
+            self._counters.log_lines_dropped += 1
+
+
+def flow_name(segment: Segment) -> str:
+    """Return the flow's endpoints as text: caller, then where it sends to."""
+    caller = f"{dotted(segment.source)}:{segment.source_port}"
+    return f"{caller}>{dotted(segment.destination)}:{segment.destination_port}"
+
+
+def dotted(address: int) -> str:
+    """Return an IPv4 address as text."""
+    return f"{address >> 24}.{address >> 16 & 255}.{address >> 8 & 255}.{address & 255}"
--- /dev/null
+++ b/sloepond/runtime/forwarding/metrics.py
@@ -0,0 +1,30 @@
+"""Metrics of a forwarding balancer as text, in the exposition format of Prometheus."""
+
+from __future__ import annotations
+
+import msgspec
+
+from sloepond.core.forwarding.node import ForwardingNode
+from sloepond.runtime.forwarding.http_server import Page
+
+PREFIX = "sloepond_"
+
+
+def metrics_page(node: ForwardingNode, now: float) -> Page:
+    """Return all counters and gauges of a node."""
+    lines = [
+        f"{PREFIX}{name}_total {getattr(node.counters, name)}"
+        for name in (field.name for field in msgspec.structs.fields(node.counters))
+    ]
+    lines.append(f"{PREFIX}ready {int(node.is_ready)}")
+    lines.append(f"{PREFIX}route_version {node.routes.version}")
+    lines.append(f"{PREFIX}flows_observed {node.flows_observed}")
+    lines.append(f"{PREFIX}backends {len(node.backends)}")
+    lines.append(f"{PREFIX}routes_age_seconds {node.routes_age(now):.3f}")
+    lines.append(f"{PREFIX}backends_age_seconds {node.backends_age(now):.3f}")
+    lines.extend(
+        f'{PREFIX}backend_in_flight{{backend="{backend.name}",state="{backend.state.name.lower()}"}} '
+        f"{backend.in_flight}"
+        for backend in node.backends
+    )
+    return Page(200, "\n".join([*lines, ""]).encode(), "text/plain; version=0.0.4")
--- /dev/null
+++ b/sloepond/runtime/forwarding/service.py
@@ -0,0 +1,120 @@
+"""The forwarding balancer as a process: tasks around one forwarding node."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable
+
+import trio
+
+from sloepond.core.forwarding.events import (
+    Command,
+    CompleteStop,
+    Event,
+    LogKind,
+    ReadSubject,
+    StopRequested,
+    TimerFired,
+    WatchSubject,
+    WriteLog,
+)
+from sloepond.core.forwarding.node import ForwardingNode
+from sloepond.runtime.clock import monotonic_seconds
+from sloepond.runtime.forwarding.data_path import DataPath
+from sloepond.runtime.forwarding.drivers import BoundSockets, PacketCodec, StoreDriver
+from sloepond.runtime.forwarding.http_server import Page, serve_pages
+from sloepond.runtime.forwarding.log_writer import LogWriter
+from sloepond.runtime.forwarding.metrics import metrics_page
+
+LONGEST_SLEEP_S = 60.0
+
+
+class ForwardingService:
+    """Runs one node on sockets.
+
+    :param reload: called on SIGHUP.
+    """
+
+    def __init__(
+        self,
+        sockets: BoundSockets,
+        codec: PacketCodec,
+        store: StoreDriver,
+        node: ForwardingNode,
+        logs: LogWriter,
+        reload: Callable[[], None],
+    ) -> None:
+        self._sockets = sockets
+        self._store = store
+        self._node = node
+        self._logs = logs
+        self._reload = reload
+        self._data_path = DataPath(sockets.edge, codec, node, logs)
+        self._was_ready = False
+        self._deadline_changed = trio.Event()
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Run until a planned stop is complete."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._data_path.run)
+            nursery.start_soon(self._handle_signals)
+            self._carry_out(self._node.start(monotonic_seconds()))
+            nursery.start_soon(serve_pages, self._sockets.readiness, self._readiness_page)
+            if self._sockets.metrics is not None:
+                nursery.start_soon(serve_pages, self._sockets.metrics, self._metrics_page)
+            nursery.start_soon(self._fire_timers)
+        self._logs.write(WriteLog(LogKind.STOPPED, "process"))
+
+    def dispatch(self, event: Event) -> None:
+        """Give the node an event and carry out what it returns."""
+        self._carry_out(self._node.handle(event, monotonic_seconds()))
+        if self._node.is_ready and not self._was_ready:
+            self._was_ready = True
+            self._logs.write(WriteLog(LogKind.READY, "process", self._node.knowledge(monotonic_seconds())))
+        self._deadline_changed.set()
+
+    def _carry_out(self, commands: list[Command]) -> None:
+        assert self._nursery is not None
+        for command in commands:
+            if isinstance(command, WriteLog):
+                self._logs.write(command)
+            elif isinstance(command, ReadSubject):
+                self._node.counters.store_reads += 1
+                self._nursery.start_soon(self._read, command)
+            elif isinstance(command, WatchSubject):
+                self._node.counters.store_watches += 1
+                self._nursery.start_soon(self._watch, command)
+            elif isinstance(command, CompleteStop):
+                self._nursery.cancel_scope.cancel()
+
+    async def _read(self, command: ReadSubject) -> None:
+        self.dispatch(await self._store.read(command))
+
+    async def _watch(self, command: WatchSubject) -> None:
+        self.dispatch(await self._store.watch(command))
+
+    async def _fire_timers(self) -> None:
+        while True:
+            self._deadline_changed = trio.Event()
+            wait_s = self._node.next_deadline() - monotonic_seconds()
+            if wait_s <= 0:
+                self.dispatch(TimerFired())
+                continue
+            with trio.move_on_after(min(wait_s, LONGEST_SLEEP_S)):
+                await self._deadline_changed.wait()
+
+    async def _handle_signals(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for received in signals:
+                if received == signal.SIGHUP:
+                    self._reload()
+                else:
+                    self.dispatch(StopRequested())
+
+    def _readiness_page(self, target: str) -> Page:
+        return Page(200 if self._node.is_ready else 503)
+
+    def _metrics_page(self, target: str) -> Page:
+        return metrics_page(self._node, monotonic_seconds())
