--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -65,10 +65,15 @@
         self._stop_at = NEVER
         self.is_stopping = False
 
+    @property
+    def is_configured(self) -> bool:
+        """Whether routes and back ends are known."""
+        return self.routes.version > 0 and len(self.backends) > 0
+
     @property
     def is_ready(self) -> bool:
         """Whether routers should send packets here."""
-        return self.routes.version > 0 and len(self.backends) > 0 and not self.is_stopping
+        return self.is_configured and not self.is_stopping
 
     @property
     def flows_observed(self) -> int:
--- a/sloepond/runtime/forwarding/data_path.py
+++ b/sloepond/runtime/forwarding/data_path.py
@@ -51,6 +51,15 @@
             self.packet(datagram, now)
         return BATCH_DATAGRAMS
 
+    def drop_waiting(self) -> None:
+        """Drop what is there: it has waited too long."""
+        while True:
+            try:
+                self._edge.recv(MAXIMUM_DATAGRAM_BYTES)
+            except OSError:
+                return
+            self._counters.refused_waited_too_long += 1
+
     def packet(self, datagram: bytes, now: float) -> None:
         """Decide on one packet and carry the decision out."""
         self._counters.packets_received += 1
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -27,6 +27,8 @@
 from sloepond.runtime.forwarding.metrics import metrics_page
 
 LONGEST_SLEEP_S = 60.0
+LONGEST_WAIT_S = 1.0
+"""How long packets wait for a process that has just started to know where they go."""
 
 
 class ForwardingService:
@@ -51,6 +53,7 @@
         self._reload = reload
         self._data_path = DataPath(sockets.edge, codec, node, logs)
         self._was_ready = False
+        self._configured = trio.Event()
         self._deadline_changed = trio.Event()
         self._nursery: trio.Nursery | None = None
 
@@ -58,7 +61,7 @@
         """Run until a planned stop is complete."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._data_path.run)
+            nursery.start_soon(self._forward)
             nursery.start_soon(self._handle_signals)
             self._carry_out(self._node.start(monotonic_seconds()))
             nursery.start_soon(serve_pages, self._sockets.readiness, self._readiness_page)
@@ -70,6 +73,8 @@
     def dispatch(self, event: Event) -> None:
         """Give the node an event and carry out what it returns."""
         self._carry_out(self._node.handle(event, monotonic_seconds()))
+        if self._node.is_configured:
+            self._configured.set()
         if self._node.is_ready and not self._was_ready:
             self._was_ready = True
             self._logs.write(WriteLog(LogKind.READY, "process", self._node.knowledge(monotonic_seconds())))
@@ -95,6 +100,18 @@
     async def _watch(self, command: WatchSubject) -> None:
         self.dispatch(await self._store.watch(command))
 
+    async def _forward(self) -> None:
+        """Forward from the moment at which something is known; until then packets wait.
+
+        What has waited too long is dropped: its sender has sent it again by then.
+        """
+        while not self._node.is_configured:
+            with trio.move_on_after(LONGEST_WAIT_S):
+                await self._configured.wait()
+                break
+            self._data_path.drop_waiting()
+        await self._data_path.run()
+
     async def _fire_timers(self) -> None:
         while True:
             self._deadline_changed = trio.Event()
