Peers: heartbeats, token lookup, knowledge for a fresh process; longer watches

Change: a partial view of peers kept by heartbeats that say how much their sender knows; who is told of more reads the store. Tokens unknown here are asked for before the packet is dropped. A fresh process asks peers when the store has not answered for 0.3 s. Watches last 10 s and follow each other after 0.2 s (routes), 0.6 s (back ends).

--- a/sloepond/core/forwarding/backends.py
+++ b/sloepond/core/forwarding/backends.py
@@ -122,6 +122,10 @@
         self.warm_at = now + record.cold_s
         self.revision = record.revision
 
+    def departed_s(self, now: float) -> float:
+        """Return seconds since it left the list, 0 if it is listed."""
+        return now - self.departed_at if self.state is BackendState.DEPARTED else 0.0
+
     def record(self, now: float) -> BackendRecord:
         """Return what a peer needs to know this back end."""
         return BackendRecord(
@@ -206,6 +210,16 @@
         self._candidates.pop(record.service, None)
         return True
 
+    def put_known(self, record: BackendRecord, departed_s: float, now: float) -> bool:
+        """Take a record from a peer: it adds what is unknown here, and changes nothing else."""
+        if record.name in self._by_name:
+            return False
+        backend = ForwardingBackend(record, now)
+        backend.departed_at = now - departed_s
+        self._add(backend)
+        self._candidates.pop(record.service, None)
+        return True
+
     def depart(self, name: str, revision: int, now: float) -> bool:
         """Note that a back end is no longer listed as of a revision."""
         backend = self._by_name.get(name)
--- a/sloepond/core/forwarding/counters.py
+++ b/sloepond/core/forwarding/counters.py
@@ -25,6 +25,9 @@
     refused_waited_too_long: int = 0
     tokens_looked_up: int = 0
     tokens_found_by_peers: int = 0
+    held_packets_dropped: int = 0
+    knowledge_taken: int = 0
+    behind_peers: int = 0
     store_reads: int = 0
     store_watches: int = 0
     store_failures: int = 0
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sloepond.core.forwarding.backends import BackendRecord
+from sloepond.core.forwarding.peer_messages import Knowledge, PeerMessage
 from sloepond.core.forwarding.routes import RouteConfiguration
 
 
@@ -86,8 +87,32 @@
     """A planned stop begins."""
 
 
+class PeerMessageReceived(msgspec.Struct, frozen=True):
+    """A datagram came from another balancer.
+
+    :ivar ip: address it came from.
+    """
+
+    ip: str
+    message: PeerMessage
+
+
+class KnowledgeReceived(msgspec.Struct, frozen=True):
+    """A peer has told all it knows."""
+
+    ip: str
+    knowledge: Knowledge
+
+
+class UnknownTokenMet(msgspec.Struct, frozen=True):
+    """A packet carries a token that is unknown here."""
+
+    token: int
+    datagram: bytes
+
+
 StoreEvent = RoutesRead | BackendsRead | RoutesChanged | BackendsChanged | StoreCallFailed
-Event = StoreEvent | TimerFired | StopRequested
+Event = StoreEvent | PeerMessageReceived | KnowledgeReceived | UnknownTokenMet | TimerFired | StopRequested
 
 
 class ReadSubject(msgspec.Struct, frozen=True):
@@ -107,6 +132,25 @@
     wait_s: float
 
 
+class SendToPeer(msgspec.Struct, frozen=True):
+    """Send a datagram to another balancer."""
+
+    ip: str
+    message: PeerMessage
+
+
+class FetchKnowledge(msgspec.Struct, frozen=True):
+    """Ask a peer for all it knows."""
+
+    ip: str
+
+
+class ForwardHeld(msgspec.Struct, frozen=True):
+    """Decide again on packets that waited for a token."""
+
+    datagrams: tuple[bytes, ...]
+
+
 class CompleteStop(msgspec.Struct, frozen=True):
     """The process may end now."""
 
@@ -126,6 +170,9 @@
     FLOW_PLACED = "flow_placed"
     PACKET_REFUSED = "packet_refused"
     TOKEN_LOOKED_UP = "token_looked_up"
+    TOKEN_FOUND = "token_found"
+    BEHIND_PEER = "behind_peer"
+    KNOWLEDGE_TAKEN = "knowledge_taken"
     SETTINGS_CHANGED = "settings_changed"
 
 
@@ -141,4 +188,4 @@
     detail: str = ""
 
 
-Command = ReadSubject | WatchSubject | CompleteStop | WriteLog
+Command = ReadSubject | WatchSubject | SendToPeer | FetchKnowledge | ForwardHeld | CompleteStop | WriteLog
--- a/sloepond/core/forwarding/follower.py
+++ b/sloepond/core/forwarding/follower.py
@@ -10,8 +10,12 @@
 
 from sloepond.core.forwarding.events import ReadSubject, StoreFailure, Subject, WatchSubject
 
-WATCH_WAIT_S = 2.5
-"""How long one watch is held.  An answer that is lost is noticed only after this."""
+WATCH_WAIT_S = 10.0
+"""How long one watch is held.  An answer that is lost is noticed after this at the
+latest; mostly a peer's heartbeat tells sooner that something was missed."""
+GATHER_S = {Subject.ROUTES: 0.2, Subject.BACKENDS: 0.6}
+"""Least time from the start of one watch to that of the next, so that changes in quick
+succession are answered together: each call is priced."""
 RETRY_S = (0.0, 0.05, 0.15, 0.3, 0.5)
 """Waits before the next try after that many failures in a row, at most the last."""
 THROTTLED_RETRY_S = 0.4
@@ -45,6 +49,7 @@
         self._next_call = 0.0
         self._confirm_at = -NEVER
         self._was_broken = False
+        self._watch_started_at = -NEVER
         self.confirmed_at = -NEVER
         self.heard_at = -NEVER
         self.failures = 0
@@ -70,6 +75,7 @@
             calls.append(ReadSubject(self._subject))
         if self._is_trusted and not self._is_watching:
             self._is_watching = True
+            self._watch_started_at = now
             calls.append(WatchSubject(self._subject, self._revision, WATCH_WAIT_S))
         return calls
 
@@ -92,7 +98,7 @@
         self._revision = max(self._revision, revision)
         self.heard_at = now
         self.failures = 0
-        self._next_call = now
+        self._next_call = max(now, self._watch_started_at + GATHER_S[self._subject])
 
     def failed(self, reason: StoreFailure, was_watch: bool, now: float) -> None:
         """Note that a call brought nothing; the next one reads everything."""
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -16,18 +16,24 @@
     Command,
     CompleteStop,
     Event,
+    KnowledgeReceived,
     LogKind,
+    PeerMessageReceived,
     RoutesChanged,
     RoutesRead,
     StopRequested,
     StoreCallFailed,
     Subject,
     TimerFired,
+    UnknownTokenMet,
     WriteLog,
 )
 from sloepond.core.forwarding.follower import NEVER, Follower
 from sloepond.core.forwarding.forwarder import Forwarder
 from sloepond.core.forwarding.packets import Segment
+from sloepond.core.forwarding.peer_exchange import PeerExchange
+from sloepond.core.forwarding.peer_messages import Knowledge
+from sloepond.core.forwarding.peers import PeerTable
 from sloepond.core.forwarding.routes import RouteConfiguration, RouteTable
 
 STOP_FORWARD_S = 1.8
@@ -45,9 +51,13 @@
 
     :param zone: zone of this balancer.
     :param random_source: seeded by the caller.
+    :param ip: address at which peers reach this balancer.
+    :param seeds: addresses of balancers that may be up.
     """
 
-    def __init__(self, zone: str, random_source: random.Random) -> None:
+    def __init__(
+        self, zone: str, random_source: random.Random, ip: str = "", seeds: tuple[str, ...] = ()
+    ) -> None:
         self.counters = ForwardingCounters()
         self.routes = RouteTable(random_source)
         self.backends = BackendDirectory()
@@ -56,6 +66,14 @@
             Subject.ROUTES: Follower(Subject.ROUTES, random_source),
             Subject.BACKENDS: Follower(Subject.BACKENDS, random_source),
         }
+        self._exchange = PeerExchange(
+            PeerTable(ip, seeds, random_source),
+            self.routes,
+            self.backends,
+            self._followers,
+            self.counters,
+            random_source,
+        )
         self._commands: list[Command] = []
         self._now = 0.0
         self._deadline = NEVER
@@ -100,9 +118,14 @@
         """Start; `now` in seconds of a monotonic clock."""
         self._now = now
         self._housekeeping_at = now + HOUSEKEEPING_S
+        self._exchange.start(now)
         self._ask_store()
         return self._finish()
 
+    def peer_knowledge(self, now: float) -> Knowledge | None:
+        """Return all that is known here, None where that is nothing."""
+        return self._exchange.knowledge(now) if self.is_configured else None
+
     def decide(self, segment: Segment, now: float) -> Decision:
         """Return what becomes of a caller's packet."""
         return self._forwarder.decide(segment, now)
@@ -116,6 +139,12 @@
             self._on_time()
         elif isinstance(event, StopRequested):
             self._request_stop()
+        elif isinstance(event, PeerMessageReceived):
+            self._exchange.message_received(event, now)
+        elif isinstance(event, KnowledgeReceived):
+            self._exchange.knowledge_received(event, now)
+        elif isinstance(event, UnknownTokenMet):
+            self._exchange.unknown_token(event, now)
         else:
             self._store_answered(event)
         self._ask_store()
@@ -126,7 +155,10 @@
         return self._deadline
 
     def _finish(self) -> list[Command]:
-        deadline = min(self._housekeeping_at, self._stop_at, self._trust_again_at)
+        self._commands.extend(self._exchange.take_commands())
+        deadline = min(
+            self._housekeeping_at, self._stop_at, self._trust_again_at, self._exchange.next_deadline()
+        )
         for follower in self._followers.values():
             deadline = min(deadline, follower.next_deadline())
         self._deadline = deadline
@@ -174,12 +206,14 @@
         if configuration is None or not self.routes.take(configuration):
             return
         self.counters.configurations_taken += 1
+        self._exchange.hurry_heartbeat(self._now)
         self._log(LogKind.ROUTES_IN_FORCE, str(configuration.version), f"routes={len(configuration.routes)}")
 
     def _take_list(self, event: BackendsRead) -> None:
         changed = self.backends.listed(event.records, event.revision, self._now)
         self.counters.backend_changes += changed
         if changed:
+            self._backends_changed(event.revision)
             self._log(
                 LogKind.BACKEND_CHANGED,
                 "list",
@@ -196,14 +230,20 @@
                 state = "departed"
             if changed:
                 self.counters.backend_changes += 1
+                self._backends_changed(change.revision)
                 self._log(LogKind.BACKEND_CHANGED, change.name, f"state={state} rev={change.revision}")
 
+    def _backends_changed(self, revision: int) -> None:
+        self._exchange.backends_changed_at_revision = revision
+        self._exchange.hurry_heartbeat(self._now)
+
     def _on_time(self) -> None:
         if self._now >= self._stop_at:
             self._stop_at = NEVER
             self._commands.append(CompleteStop())
         if self._now >= self._trust_again_at:
             self._trust()
+        self._exchange.on_time(self._now)
         if self._now >= self._housekeeping_at:
             self._housekeeping_at = self._now + HOUSEKEEPING_S
             self.backends.forget_departed(self._now)
@@ -234,6 +274,8 @@
         if self.is_stopping:
             return
         self.is_stopping = True
+        self._exchange.is_leaving = True
+        self._exchange.hurry_heartbeat(self._now)
         self._stop_at = self._now + STOP_FORWARD_S
         self._log(LogKind.STOPPING, "process", f"forwards_on_s={STOP_FORWARD_S}")
 
--- a/sloepond/platform/balancer.py
+++ b/sloepond/platform/balancer.py
@@ -18,7 +18,7 @@
 
 def run_balancer(settings: ForwardingSettings, sockets: BoundSockets) -> None:
     """Run until SIGTERM has stopped it."""
-    node = ForwardingNode(settings.zone, random.Random())
+    node = ForwardingNode(settings.zone, random.Random(), settings.ip, settings.seeds)
     logs = LogWriter(node.counters)
     logs.write(WriteLog(LogKind.STARTED, settings.name, f"zone={settings.zone} store={settings.store}"))
     codec = EchoPacketCodec(int(settings.edge.rpartition(":")[2]))
--- a/sloepond/platform/binding.py
+++ b/sloepond/platform/binding.py
@@ -15,12 +15,22 @@
 
     :raises OSError: where an address cannot be bound.
     """
-    edge = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    edge.setblocking(False)
-    edge.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    edge.bind(_endpoint(settings.edge))
-    metrics = _listen(settings.metrics) if settings.metrics else None
-    return BoundSockets(edge, _listen(settings.readiness), metrics)
+    peer = f"{settings.ip}:{settings.peer_port}"
+    return BoundSockets(
+        edge=_bind(settings.edge),
+        readiness=_listen(settings.readiness),
+        peer=_bind(peer),
+        knowledge=_listen(peer),
+        metrics=_listen(settings.metrics) if settings.metrics else None,
+    )
+
+
+def _bind(address: str) -> socket.socket:
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    bound.bind(_endpoint(address))
+    return bound
 
 
 def _listen(address: str) -> socket.socket:
--- a/sloepond/runtime/forwarding/data_path.py
+++ b/sloepond/runtime/forwarding/data_path.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 
 import trio
 
 from sloepond.core.forwarding.backends import Decision
+from sloepond.core.forwarding.events import UnknownTokenMet
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.core.forwarding.packets import Refusal, Segment
 from sloepond.runtime.clock import monotonic_seconds
@@ -21,6 +23,7 @@
 class DataPath:
     """Forwards callers' packets.
 
+    :ivar on_unknown_token: called for a packet whose token is to be looked up.
     :param edge: bound, non-blocking UDP socket; packets also leave through it.
     """
 
@@ -32,6 +35,7 @@
         self._node = node
         self._logs = logs
         self._counters = node.counters
+        self.on_unknown_token: Callable[[UnknownTokenMet], None] | None = None
         self._refusal_counters = {refusal: f"refused_{refusal.value}" for refusal in Refusal}
 
     async def run(self) -> None:
@@ -71,12 +75,18 @@
         backend = decision.backend
         if backend is None:
             self._refuse(segment, decision)
+            if decision.lookup:
+                self._look_up(segment.token, datagram)
             return
         self._counters.packets_forwarded += 1
         self._send(self._codec.encode(datagram, backend), backend.endpoint)
         if segment.is_opening:
             self._logs.flow_placed(segment, backend, self._node)
 
+    def _look_up(self, token: int, datagram: bytes) -> None:
+        if self.on_unknown_token is not None:
+            self.on_unknown_token(UnknownTokenMet(token, datagram))
+
     def _refuse(self, segment: Segment, decision: Decision) -> None:
         assert decision.refusal is not None
         name = self._refusal_counters[decision.refusal]
--- a/sloepond/runtime/forwarding/drivers.py
+++ b/sloepond/runtime/forwarding/drivers.py
@@ -41,12 +41,16 @@
 
     :ivar edge: UDP, callers' packets.
     :ivar readiness: TCP, listening.
+    :ivar peer: UDP, what other balancers say.
+    :ivar knowledge: TCP, listening for balancers that have just started.
+    :ivar metrics: TCP, listening.
     """
 
     edge: socket.socket
     readiness: socket.socket
+    peer: socket.socket
+    knowledge: socket.socket
     metrics: socket.socket | None = None
-    peer: socket.socket | None = None
 
 
 class PacketCodec(abc.ABC):
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -11,8 +11,11 @@
     Command,
     CompleteStop,
     Event,
+    FetchKnowledge,
+    ForwardHeld,
     LogKind,
     ReadSubject,
+    SendToPeer,
     StopRequested,
     TimerFired,
     WatchSubject,
@@ -25,6 +28,7 @@
 from sloepond.runtime.forwarding.http_server import Page, serve_pages
 from sloepond.runtime.forwarding.log_writer import LogWriter
 from sloepond.runtime.forwarding.metrics import metrics_page
+from sloepond.runtime.forwarding.peer_channel import PeerChannel
 
 LONGEST_SLEEP_S = 60.0
 LONGEST_WAIT_S = 1.0
@@ -52,6 +56,8 @@
         self._logs = logs
         self._reload = reload
         self._data_path = DataPath(sockets.edge, codec, node, logs)
+        self._data_path.on_unknown_token = self.dispatch
+        self._peers = PeerChannel(sockets.peer, sockets.knowledge, node, self.dispatch)
         self._was_ready = False
         self._configured = trio.Event()
         self._deadline_changed = trio.Event()
@@ -63,6 +69,7 @@
             self._nursery = nursery
             nursery.start_soon(self._forward)
             nursery.start_soon(self._handle_signals)
+            nursery.start_soon(self._peers.run)
             self._carry_out(self._node.start(monotonic_seconds()))
             nursery.start_soon(serve_pages, self._sockets.readiness, self._readiness_page)
             if self._sockets.metrics is not None:
@@ -91,6 +98,13 @@
             elif isinstance(command, WatchSubject):
                 self._node.counters.store_watches += 1
                 self._nursery.start_soon(self._watch, command)
+            elif isinstance(command, SendToPeer):
+                self._peers.send(command)
+            elif isinstance(command, FetchKnowledge):
+                self._nursery.start_soon(self._peers.fetch_knowledge, command)
+            elif isinstance(command, ForwardHeld):
+                for datagram in command.datagrams:
+                    self._data_path.packet(datagram, monotonic_seconds())
             elif isinstance(command, CompleteStop):
                 self._nursery.cancel_scope.cancel()
 
