Early stage: a starting process forwards while trio is loaded, in steps

Cause: a start took 0.25 s from exec to the first packet, 0.15 s of it loading trio and what it needs, which only the later stage uses.

Change: the store's formats are a codec without I/O; an early stage reads the store and forwards on plain sockets, by the same node and data path, between the loading steps. Tried before: a thread that loads.

--- a/sloepond/platform/balancer.py
+++ b/sloepond/platform/balancer.py
@@ -1,31 +1,42 @@
-"""A balancer on the platform: the forwarding service with the platform's drivers."""
+"""A balancer on the platform: the forwarding service with the platform's formats."""
 
 from __future__ import annotations
 
 import random
 
-import trio
-
 from sloepond.core.forwarding.events import LogKind, WriteLog
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.platform.packet_codec import EchoPacketCodec
 from sloepond.platform.settings import read_settings
-from sloepond.platform.store import PlatformStore
+from sloepond.platform.store import PlatformStoreCodec
+from sloepond.runtime.forwarding.data_path import DataPath
 from sloepond.runtime.forwarding.drivers import BoundSockets, ForwardingSettings
+from sloepond.runtime.forwarding.early import EarlyForwarding
 from sloepond.runtime.forwarding.log_writer import LogWriter
-from sloepond.runtime.forwarding.service import ForwardingService
 
 
-def run_balancer(settings: ForwardingSettings, sockets: BoundSockets) -> None:
-    """Run until SIGTERM has stopped it."""
+def run_balancer(settings: ForwardingSettings, sockets: BoundSockets, signals: list[int]) -> None:
+    """Run until SIGTERM has stopped it.
+
+    :param signals: filled by signal handlers until the service takes signals itself.
+    """
     node = ForwardingNode(settings.zone, random.Random(), settings.ip, settings.seeds)
     logs = LogWriter(node.counters)
     logs.write(WriteLog(LogKind.STARTED, settings.name, f"zone={settings.zone} store={settings.store}"))
-    codec = EchoPacketCodec(int(settings.edge.rpartition(":")[2]))
+    data_path = DataPath(sockets.edge, EchoPacketCodec(int(settings.edge.rpartition(":")[2])), node, logs)
+    codec = PlatformStoreCodec()
+    host, _, port = settings.store.rpartition(":")
+    early = EarlyForwarding(sockets, data_path, (host, int(port)), codec, node, logs)
+    begun = early.run(signals)
+
+    import trio
+
+    from sloepond.runtime.forwarding.service import ForwardingService
+    from sloepond.runtime.forwarding.store_client import StoreClient
 
     def reload() -> None:
         changed = read_settings()
         logs.write(WriteLog(LogKind.SETTINGS_CHANGED, changed.name, f"changed={changed != settings}"))
 
-    service = ForwardingService(sockets, codec, PlatformStore(settings.store), node, logs, reload)
-    trio.run(service.run)
+    service = ForwardingService(sockets, data_path, StoreClient(settings.store, codec), node, logs, reload)
+    trio.run(service.run, begun)
--- a/sloepond/platform/store.py
+++ b/sloepond/platform/store.py
@@ -1,4 +1,4 @@
-"""Calls to the platform's store: one key, a prefix in pages, a watch."""
+"""Names and formats of the platform's store: one key, a prefix in pages, a watch."""
 
 from __future__ import annotations
 
@@ -11,7 +11,6 @@
     BackendsChanged,
     BackendsRead,
     DepartedBackend,
-    ReadSubject,
     RoutesChanged,
     RoutesRead,
     StoreCallFailed,
@@ -29,99 +28,68 @@
     decode_configuration,
     decode_server,
 )
-from sloepond.runtime.forwarding.drivers import StoreDriver
-from sloepond.runtime.forwarding.http_client import HttpClient, HttpFailure, HttpResponse
+from sloepond.runtime.forwarding.drivers import ReadPage, StoreCodec
 
 CONFIGURATION_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
-READ_TIMEOUT_S = 0.7
-WATCH_MARGIN_S = 0.7
-
-_FAILURES = {
-    HttpFailure.UNREACHABLE: StoreFailure.UNREACHABLE,
-    HttpFailure.TIMED_OUT: StoreFailure.TIMED_OUT,
-    HttpFailure.MALFORMED: StoreFailure.MALFORMED,
-}
-_STATUSES = {429: StoreFailure.THROTTLED, 410: StoreFailure.HISTORY_LOST, 503: StoreFailure.REFUSED}
+_UNDECODABLE = (msgspec.MsgspecError, ValueError, OSError)
 _KEY = msgspec.json.Decoder(KeyAnswer)
 _RANGE = msgspec.json.Decoder(RangeAnswer)
 _WATCH = msgspec.json.Decoder(WatchAnswer)
 
 
-class PlatformStore(StoreDriver):
-    """The platform's store.
+class PlatformStoreCodec(StoreCodec):
+    """The platform's store."""
 
-    :param address: `ip:port`.
-    """
+    def read_target(self, subject: Subject, page: str) -> str:
+        """Return the target of a GET that reads the configuration or a page of targets."""
+        if subject is Subject.ROUTES:
+            return f"/api/kv-key?key={quote(CONFIGURATION_KEY)}"
+        after = f"&after={quote(page)}" if page else ""
+        return f"/api/kv-range?path_prefix={quote(SERVERS_PREFIX)}{after}"
 
-    def __init__(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        self._client = HttpClient(host, int(port))
+    def watch_target(self, command: WatchSubject) -> str:
+        """Return the target of a GET that waits for changes."""
+        prefix = CONFIGURATION_KEY if command.subject is Subject.ROUTES else SERVERS_PREFIX
+        wait_ms = int(command.wait_s * 1000)
+        return f"/api/kv-watch?path_prefix={quote(prefix)}&after={command.after}&wait_ms={wait_ms}"
 
-    async def read(self, command: ReadSubject) -> StoreEvent:
-        """Read the configuration or all targets."""
+    def decode_page(self, subject: Subject, body: bytes) -> ReadPage:
+        """Return what a read has brought."""
         try:
-            if command.subject is Subject.ROUTES:
-                return await self._read_configuration()
-            return await self._read_servers()
-        except (msgspec.MsgspecError, ValueError, OSError):
-            return StoreCallFailed(command.subject, StoreFailure.MALFORMED, False)
+            return _read_routes(body) if subject is Subject.ROUTES else _read_servers(body)
+        except _UNDECODABLE:
+            return ReadPage(StoreCallFailed(subject, StoreFailure.MALFORMED, False))
 
-    async def watch(self, command: WatchSubject) -> StoreEvent:
-        """Wait for changes of the configuration or of targets."""
-        prefix = CONFIGURATION_KEY if command.subject is Subject.ROUTES else SERVERS_PREFIX
-        wait_ms = int(command.wait_s * 1000)
-        target = f"/api/kv-watch?path_prefix={quote(prefix)}&after={command.after}&wait_ms={wait_ms}"
-        answer = await self._client.get(target, command.wait_s + WATCH_MARGIN_S)
-        if not isinstance(answer, HttpResponse) or answer.status != 200:
-            return StoreCallFailed(command.subject, _failure(answer), True)
+    def decode_watch(self, command: WatchSubject, body: bytes) -> StoreEvent:
+        """Return what a watch has brought."""
         try:
-            return _watch_event(command.subject, _WATCH.decode(answer.body))
-        except (msgspec.MsgspecError, ValueError, OSError):
+            answer = _WATCH.decode(body)
+            if command.subject is Subject.ROUTES:
+                return _changed_routes(answer)
+            return BackendsChanged(answer.at, tuple(_change(item) for item in answer.events))
+        except _UNDECODABLE:
             return StoreCallFailed(command.subject, StoreFailure.MALFORMED, True)
 
-    async def _read_configuration(self) -> StoreEvent:
-        answer = await self._client.get(f"/api/kv-key?key={quote(CONFIGURATION_KEY)}", READ_TIMEOUT_S)
-        if isinstance(answer, HttpResponse) and answer.status == 404:
-            return RoutesRead(0, None)
-        if not isinstance(answer, HttpResponse) or answer.status != 200:
-            return StoreCallFailed(Subject.ROUTES, _failure(answer), False)
-        item = _KEY.decode(answer.body)
-        return RoutesRead(item.at, decode_configuration(item.value))
-
-    async def _read_servers(self) -> StoreEvent:
-        records: list[BackendRecord] = []
-        first_revision = 0
-        after = ""
-        while True:
-            target = f"/api/kv-range?path_prefix={quote(SERVERS_PREFIX)}"
-            if after:
-                target += f"&after={quote(after)}"
-            answer = await self._client.get(target, READ_TIMEOUT_S)
-            if not isinstance(answer, HttpResponse) or answer.status != 200:
-                return StoreCallFailed(Subject.BACKENDS, _failure(answer), False)
-            page = _RANGE.decode(answer.body)
-            first_revision = first_revision or page.at
-            records.extend(decode_server(item.key, item.value, item.rev) for item in page.items)
-            if not page.more or not page.items:
-                return BackendsRead(first_revision, tuple(records))
-            after = page.items[-1].key
-
-
-def _watch_event(subject: Subject, answer: WatchAnswer) -> StoreEvent:
-    if subject is Subject.ROUTES:
-        written = (item for item in answer.events if item.key == CONFIGURATION_KEY and item.value)
-        return RoutesChanged(answer.at, tuple(decode_configuration(item.value) for item in written))
-    return BackendsChanged(answer.at, tuple(_change(item) for item in answer.events))
+
+def _read_routes(body: bytes) -> ReadPage:
+    answer = _KEY.decode(body)
+    return ReadPage(RoutesRead(answer.at, decode_configuration(answer.value)))
+
+
+def _read_servers(body: bytes) -> ReadPage:
+    answer = _RANGE.decode(body)
+    records = tuple(decode_server(item.key, item.value, item.rev) for item in answer.items)
+    next_page = answer.items[-1].key if answer.more and answer.items else ""
+    return ReadPage(BackendsRead(answer.at, records), next_page)
+
+
+def _changed_routes(answer: WatchAnswer) -> RoutesChanged:
+    written = (item for item in answer.events if item.key == CONFIGURATION_KEY and item.value)
+    return RoutesChanged(answer.at, tuple(decode_configuration(item.value) for item in written))
 
 
 def _change(item: Item) -> BackendRecord | DepartedBackend:
     if item.gone:
         return DepartedBackend(backend_name(item.key), item.rev)
     return decode_server(item.key, item.value, item.rev)
-
-
-def _failure(answer: HttpResponse | HttpFailure) -> StoreFailure:
-    if isinstance(answer, HttpResponse):
-        return _STATUSES.get(answer.status, StoreFailure.REFUSED)
-    return _FAILURES[answer]
--- a/sloepond/runtime/forwarding/data_path.py
+++ b/sloepond/runtime/forwarding/data_path.py
@@ -5,13 +5,10 @@
 import socket
 from collections.abc import Callable
 
-import trio
-
 from sloepond.core.forwarding.backends import Decision
 from sloepond.core.forwarding.events import UnknownTokenMet
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.core.forwarding.packets import Refusal, Segment
-from sloepond.runtime.clock import monotonic_seconds
 from sloepond.runtime.forwarding.drivers import PacketCodec
 from sloepond.runtime.forwarding.log_writer import LogWriter
 
@@ -38,12 +35,6 @@
         self.on_unknown_token: Callable[[UnknownTokenMet], None] | None = None
         self._refusal_counters = {refusal: f"refused_{refusal.value}" for refusal in Refusal}
 
-    async def run(self) -> None:
-        """Forward until cancelled."""
-        while True:
-            await trio.lowlevel.wait_readable(self._edge)
-            self.drain(monotonic_seconds())
-
     def drain(self, now: float) -> int:
         """Take what is there, at most one batch; return how many datagrams."""
         receive = self._edge.recv
--- a/sloepond/runtime/forwarding/drivers.py
+++ b/sloepond/runtime/forwarding/drivers.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from sloepond.core.forwarding.backends import ForwardingBackend
-from sloepond.core.forwarding.events import ReadSubject, StoreEvent, WatchSubject
+from sloepond.core.forwarding.events import StoreEvent, Subject, WatchSubject
 from sloepond.core.forwarding.packets import Segment
 
 
@@ -73,13 +73,31 @@
         """Return where packets for the caller are sent."""
 
 
-class StoreDriver(abc.ABC):
-    """Calls to the platform's store; every failure is an event, none is raised."""
+class ReadPage(msgspec.Struct, frozen=True):
+    """One page of a read.
+
+    :ivar next_page: where the next page begins, empty where this is the last.
+    """
+
+    event: StoreEvent
+    next_page: str = ""
+
+
+class StoreCodec(abc.ABC):
+    """Names and formats of the platform's store; what it cannot decode is an event too."""
+
+    @abc.abstractmethod
+    def read_target(self, subject: Subject, page: str) -> str:
+        """Return the target of a GET that reads a page of a subject."""
+
+    @abc.abstractmethod
+    def watch_target(self, command: WatchSubject) -> str:
+        """Return the target of a GET that waits for changes."""
 
     @abc.abstractmethod
-    async def read(self, command: ReadSubject) -> StoreEvent:
-        """Read everything of a subject."""
+    def decode_page(self, subject: Subject, body: bytes) -> ReadPage:
+        """Return what a read has brought."""
 
     @abc.abstractmethod
-    async def watch(self, command: WatchSubject) -> StoreEvent:
-        """Wait for changes of a subject."""
+    def decode_watch(self, command: WatchSubject, body: bytes) -> StoreEvent:
+        """Return what a watch has brought."""
--- /dev/null
+++ b/sloepond/runtime/forwarding/early.py
@@ -0,0 +1,192 @@
+"""Forwarding before everything is loaded.
+
+Loading trio takes longer than all else at a start.  It is loaded in steps; between them
+this reads the store and forwards, with plain sockets, by the same node and data path.
+
+A thread that loads it was tried and gave up: the process sometimes crashed in it.
+"""
+
+from __future__ import annotations
+
+import importlib
+import select
+import socket
+
+import h11
+import msgspec
+
+from sloepond.core.forwarding.events import (
+    Command,
+    ForwardHeld,
+    ReadSubject,
+    StoreEvent,
+    UnknownTokenMet,
+    WriteLog,
+)
+from sloepond.core.forwarding.node import ForwardingNode
+from sloepond.runtime.clock import monotonic_seconds
+from sloepond.runtime.forwarding.data_path import DataPath
+from sloepond.runtime.forwarding.drivers import BoundSockets, StoreCodec
+from sloepond.runtime.forwarding.http_exchange import HttpExchange, HttpFailure, HttpResponse
+from sloepond.runtime.forwarding.log_writer import LogWriter
+from sloepond.runtime.forwarding.store_pages import PagedRead
+
+FIRST_READS_S = 0.04
+"""How long loading waits for the first reads of the store."""
+POLL_MS = 5
+"""Longest wait for a packet or an answer meanwhile."""
+READ_BYTES = 65_536
+SERVICE_MODULE = "sloepond.runtime.forwarding.service"
+STEPS = (
+    "logging",
+    "subprocess",
+    "ctypes.util",
+    "attr",
+    "attrs",
+    "outcome",
+    "sortedcontainers",
+    "importlib.resources",
+    "concurrent.futures",
+    "sniffio",
+    "idna",
+    "ssl",
+    "hmac",
+    "trio",
+    SERVICE_MODULE,
+)
+"""Modules loaded one after the other: what trio needs, trio, the service."""
+
+
+class EarlyResult(msgspec.Struct):
+    """What the early stage leaves to the service.
+
+    :ivar commands: commands not carried out yet.
+    :ivar signals: signals received meanwhile.
+    """
+
+    commands: list[Command]
+    signals: list[int]
+
+
+class EarlyRead:
+    """One read of the store on a socket of its own."""
+
+    def __init__(self, command: ReadSubject, endpoint: tuple[str, int], codec: StoreCodec) -> None:
+        self.command = command
+        self._exchange = HttpExchange(f"{endpoint[0]}:{endpoint[1]}")
+        self._pages = PagedRead(command.subject, codec)
+        self._unsent = self._exchange.request(self._pages.target)
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.socket.setblocking(False)
+        self.socket.connect_ex(endpoint)
+
+    @property
+    def awaited(self) -> int:
+        """The poll event to wait for."""
+        return select.POLLOUT if self._unsent else select.POLLIN
+
+    def progress(self) -> StoreEvent | None:
+        """Send or receive; return the event once the read has ended."""
+        try:
+            if self._unsent:
+                self._unsent = self._unsent[self.socket.send(self._unsent) :]
+                return None
+            response = self._exchange.receive(self.socket.recv(READ_BYTES))
+        except BlockingIOError:
+            return None
+        except OSError:
+            return self._pages.answered(HttpFailure.UNREACHABLE)
+        except h11.ProtocolError:
+            return self._pages.answered(HttpFailure.MALFORMED)
+        return self._take(response) if response is not None else None
+
+    def _take(self, response: HttpResponse) -> StoreEvent | None:
+        event = self._pages.answered(response)
+        if event is None:
+            self._unsent = self._exchange.request(self._pages.target)
+        return event
+
+
+class EarlyForwarding:
+    """Runs the node until the rest is loaded.
+
+    :param store: endpoint of the store.
+    """
+
+    def __init__(
+        self,
+        sockets: BoundSockets,
+        data_path: DataPath,
+        store: tuple[str, int],
+        codec: StoreCodec,
+        node: ForwardingNode,
+        logs: LogWriter,
+    ) -> None:
+        self._edge = sockets.edge
+        self._data_path = data_path
+        self._store = store
+        self._codec = codec
+        self._node = node
+        self._logs = logs
+        self._reads: dict[int, EarlyRead] = {}
+        self._poll = select.poll()
+        self._left: list[Command] = []
+
+    def run(self, signals: list[int]) -> EarlyResult:
+        """Forward until the service is loaded.
+
+        :param signals: filled by signal handlers.
+        """
+        self._data_path.on_unknown_token = self._unknown_token
+        started = monotonic_seconds()
+        self._carry_out(self._node.start(started))
+        while not self._node.is_configured and monotonic_seconds() - started < FIRST_READS_S:
+            self._poll_once(POLL_MS)
+        for name in STEPS:
+            importlib.import_module(name)
+            self._poll_once(0)
+        for read in self._reads.values():
+            read.socket.close()
+            self._left.append(read.command)
+        return EarlyResult(self._left, signals)
+
+    def _poll_once(self, timeout_ms: int) -> None:
+        for descriptor, _ in self._poll.poll(timeout_ms):
+            read = self._reads.get(descriptor)
+            if read is not None:
+                self._progress(descriptor, read)
+            else:
+                self._data_path.drain(monotonic_seconds())
+
+    def _progress(self, descriptor: int, read: EarlyRead) -> None:
+        event = read.progress()
+        if event is None:
+            self._poll.modify(descriptor, read.awaited)
+            return
+        self._poll.unregister(descriptor)
+        del self._reads[descriptor]
+        read.socket.close()
+        self._carry_out(self._node.handle(event, monotonic_seconds()))
+        if self._node.is_configured:
+            self._poll.register(self._edge, select.POLLIN)
+
+    def _unknown_token(self, event: UnknownTokenMet) -> None:
+        self._carry_out(self._node.handle(event, monotonic_seconds()))
+
+    def _carry_out(self, commands: list[Command]) -> None:
+        for command in commands:
+            if isinstance(command, ReadSubject):
+                self._begin_read(command)
+            elif isinstance(command, WriteLog):
+                self._logs.write(command)
+            elif isinstance(command, ForwardHeld):
+                for datagram in command.datagrams:
+                    self._data_path.packet(datagram, monotonic_seconds())
+            else:
+                self._left.append(command)
+
+    def _begin_read(self, command: ReadSubject) -> None:
+        self._node.counters.store_reads += 1
+        read = EarlyRead(command, self._store, self._codec)
+        self._reads[read.socket.fileno()] = read
+        self._poll.register(read.socket, read.awaited)
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -24,11 +24,13 @@
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.runtime.clock import monotonic_seconds
 from sloepond.runtime.forwarding.data_path import DataPath
-from sloepond.runtime.forwarding.drivers import BoundSockets, PacketCodec, StoreDriver
+from sloepond.runtime.forwarding.drivers import BoundSockets
+from sloepond.runtime.forwarding.early import EarlyResult
 from sloepond.runtime.forwarding.http_server import Page, serve_pages
 from sloepond.runtime.forwarding.log_writer import LogWriter
 from sloepond.runtime.forwarding.metrics import metrics_page
 from sloepond.runtime.forwarding.peer_channel import PeerChannel
+from sloepond.runtime.forwarding.store_client import StoreClient
 
 LONGEST_SLEEP_S = 60.0
 LONGEST_WAIT_S = 1.0
@@ -44,8 +46,8 @@
     def __init__(
         self,
         sockets: BoundSockets,
-        codec: PacketCodec,
-        store: StoreDriver,
+        data_path: DataPath,
+        store: StoreClient,
         node: ForwardingNode,
         logs: LogWriter,
         reload: Callable[[], None],
@@ -55,7 +57,7 @@
         self._node = node
         self._logs = logs
         self._reload = reload
-        self._data_path = DataPath(sockets.edge, codec, node, logs)
+        self._data_path = data_path
         self._data_path.on_unknown_token = self.dispatch
         self._peers = PeerChannel(sockets.peer, sockets.knowledge, node, self.dispatch)
         self._was_ready = False
@@ -63,14 +65,21 @@
         self._deadline_changed = trio.Event()
         self._nursery: trio.Nursery | None = None
 
-    async def run(self) -> None:
-        """Run until a planned stop is complete."""
+    async def run(self, begun: EarlyResult) -> None:
+        """Run until a planned stop is complete.
+
+        :param begun: what the start has left to do.
+        """
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._forward)
             nursery.start_soon(self._handle_signals)
             nursery.start_soon(self._peers.run)
-            self._carry_out(self._node.start(monotonic_seconds()))
+            self._carry_out(begun.commands)
+            if self._node.is_configured:
+                self._configured.set()
+            for received in begun.signals:
+                self._take_signal(received)
             nursery.start_soon(serve_pages, self._sockets.readiness, self._readiness_page)
             if self._sockets.metrics is not None:
                 nursery.start_soon(serve_pages, self._sockets.metrics, self._metrics_page)
@@ -124,7 +133,9 @@
                 await self._configured.wait()
                 break
             self._data_path.drop_waiting()
-        await self._data_path.run()
+        while True:
+            await trio.lowlevel.wait_readable(self._sockets.edge)
+            self._data_path.drain(monotonic_seconds())
 
     async def _fire_timers(self) -> None:
         while True:
@@ -139,10 +150,13 @@
     async def _handle_signals(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async for received in signals:
-                if received == signal.SIGHUP:
-                    self._reload()
-                else:
-                    self.dispatch(StopRequested())
+                self._take_signal(received)
+
+    def _take_signal(self, received: int) -> None:
+        if received == signal.SIGHUP:
+            self._reload()
+        else:
+            self.dispatch(StopRequested())
 
     def _readiness_page(self, target: str) -> Page:
         return Page(200 if self._node.is_ready else 503)
--- /dev/null
+++ b/sloepond/runtime/forwarding/store_client.py
@@ -0,0 +1,48 @@
+"""Calls to the platform's store; every failure is an event, none is raised."""
+
+from __future__ import annotations
+
+from sloepond.core.forwarding.events import (
+    ReadSubject,
+    StoreCallFailed,
+    StoreEvent,
+    StoreFailure,
+    WatchSubject,
+)
+from sloepond.runtime.forwarding.drivers import StoreCodec
+from sloepond.runtime.forwarding.http_client import HttpClient
+from sloepond.runtime.forwarding.http_exchange import HttpFailure
+from sloepond.runtime.forwarding.store_pages import PagedRead, store_failure
+
+READ_TIMEOUT_S = 0.7
+WATCH_MARGIN_S = 0.7
+"""How long after the end of its wait a watch is given up."""
+
+
+class StoreClient:
+    """Reads and watches.
+
+    :param address: `ip:port` of the store.
+    """
+
+    def __init__(self, address: str, codec: StoreCodec) -> None:
+        host, _, port = address.rpartition(":")
+        self._client = HttpClient(host, int(port))
+        self._codec = codec
+
+    async def read(self, command: ReadSubject) -> StoreEvent:
+        """Read everything of a subject."""
+        paged = PagedRead(command.subject, self._codec)
+        event: StoreEvent | None = None
+        while event is None:
+            event = paged.answered(await self._client.get(paged.target, READ_TIMEOUT_S))
+        return event
+
+    async def watch(self, command: WatchSubject) -> StoreEvent:
+        """Wait for changes of a subject."""
+        target = self._codec.watch_target(command)
+        answer = await self._client.get(target, command.wait_s + WATCH_MARGIN_S)
+        failure = store_failure(answer)
+        if isinstance(answer, HttpFailure) or failure is not None:
+            return StoreCallFailed(command.subject, failure or StoreFailure.REFUSED, True)
+        return self._codec.decode_watch(command, answer.body)
