Admission: a balancer takes its part of each back end; new flows wait or divert

Cause: after the final fault all clients open flows at once.

Change: a back end's slots and queue are divided by the balancers known; a fresh balancer takes one request a back end for 2 s. A new flow without room goes to another service of its split, else waits at most 0.6 s and is then placed anyway. Requests count for 0.15 s at most, since the last part of an answer is often not acknowledged.

It is admission, not a refusal held back: what waits is placed in any case.

--- a/sloepond/core/forwarding/backends.py
+++ b/sloepond/core/forwarding/backends.py
@@ -63,12 +63,14 @@
     :ivar refusal: why it goes nowhere.
     :ivar reset: whether the caller is told at once that its flow was not opened.
     :ivar lookup: whether peers are asked for the token before the packet is dropped.
+    :ivar hold: whether the packet waits for room at a back end.
     """
 
     backend: ForwardingBackend | None = None
     refusal: Refusal | None = None
     reset: bool = False
     lookup: bool = False
+    hold: bool = False
 
 
 class ForwardingBackend:
--- a/sloepond/core/forwarding/counters.py
+++ b/sloepond/core/forwarding/counters.py
@@ -17,7 +17,8 @@
     resets_sent: int = 0
     refused_no_route: int = 0
     refused_no_backend: int = 0
-    refused_overloaded: int = 0
+    flows_held: int = 0
+    flows_diverted: int = 0
     refused_unknown_token: int = 0
     refused_no_token: int = 0
     refused_not_configured: int = 0
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sloepond.core.forwarding.backends import BackendRecord
+from sloepond.core.forwarding.packets import Segment
 from sloepond.core.forwarding.peer_messages import Knowledge, PeerMessage
 from sloepond.core.forwarding.routes import RouteConfiguration
 
@@ -104,6 +105,13 @@
     knowledge: Knowledge
 
 
+class OpeningHeld(msgspec.Struct, frozen=True):
+    """There is no room for a new flow: its opening packet waits."""
+
+    segment: Segment
+    datagram: bytes
+
+
 class UnknownTokenMet(msgspec.Struct, frozen=True):
     """A packet carries a token that is unknown here."""
 
@@ -112,7 +120,15 @@
 
 
 StoreEvent = RoutesRead | BackendsRead | RoutesChanged | BackendsChanged | StoreCallFailed
-Event = StoreEvent | PeerMessageReceived | KnowledgeReceived | UnknownTokenMet | TimerFired | StopRequested
+Event = (
+    StoreEvent
+    | PeerMessageReceived
+    | KnowledgeReceived
+    | OpeningHeld
+    | UnknownTokenMet
+    | TimerFired
+    | StopRequested
+)
 
 
 class ReadSubject(msgspec.Struct, frozen=True):
@@ -168,6 +184,7 @@
     ROUTES_IN_FORCE = "routes_in_force"
     BACKEND_CHANGED = "backend_changed"
     FLOW_PLACED = "flow_placed"
+    FLOW_WAITS = "flow_waits"
     PACKET_REFUSED = "packet_refused"
     TOKEN_LOOKED_UP = "token_looked_up"
     TOKEN_FOUND = "token_found"
--- a/sloepond/core/forwarding/flow_observer.py
+++ b/sloepond/core/forwarding/flow_observer.py
@@ -16,15 +16,17 @@
 """Flows observed at once; the one that rested longest is forgotten for a new one."""
 REST_S = 20.0
 """Rest after which a flow counts as ended."""
-ANSWER_LIMIT_S = 3.0
-"""Time after which a request without an answer is no longer counted."""
+ANSWER_LIMIT_S = 0.15
+"""Time after which a request counts as answered: the last part of an answer is often
+acknowledged with the next request only."""
 
 
 class ObservedFlow:
     """What was seen of one flow.
 
-    :ivar acknowledged: highest acknowledgement seen.
-    :ivar requested_at: time of the request under way, 0 for none.
+    :ivar acknowledged: last acknowledgement seen, 0 for none.
+    :ivar requested_at: time of the request under way, 0 for none; a new flow counts as
+        one request.
     """
 
     __slots__ = ("acknowledged", "backend", "last_seen", "requested_at")
@@ -41,6 +43,7 @@
 
     def __init__(self) -> None:
         self._flows: collections.OrderedDict[int, ObservedFlow] = collections.OrderedDict()
+        self._busy: dict[int, ObservedFlow] = {}
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -54,7 +57,8 @@
         """Note the back end chosen for a new flow."""
         key = segment.flow_key
         self._remove(key)
-        self._add(key, backend, now)
+        flow = self._add(key, backend, now)
+        self._request_sent(key, flow, now)
 
     def packet(self, segment: Segment, backend: ForwardingBackend, now: float) -> None:
         """Note a packet of an open flow."""
@@ -69,34 +73,37 @@
             self._remove(key)
             return
         if segment.length:
-            self._request_sent(flow, now)
-        elif segment.acknowledgement != flow.acknowledged:
-            self._answer_seen(flow)
+            self._request_sent(key, flow, now)
+        elif flow.acknowledged and segment.acknowledgement != flow.acknowledged:
+            self._answer_seen(key, flow)
         flow.acknowledged = segment.acknowledgement
 
     def forget_resting(self, now: float) -> None:
-        """Forget flows that rest, and requests whose answer was never seen."""
+        """Forget flows that rest."""
         flows = self._flows
         while flows:
             key = next(iter(flows))
             if now - flows[key].last_seen < REST_S:
                 break
             self._remove(key)
-        for flow in flows.values():
-            if flow.requested_at and now - flow.requested_at > ANSWER_LIMIT_S:
-                self._answer_seen(flow)
 
-    @staticmethod
-    def _request_sent(flow: ObservedFlow, now: float) -> None:
+    def expire_requests(self, now: float) -> None:
+        """Count requests as answered whose answer cannot be seen."""
+        for key, flow in list(self._busy.items()):
+            if now - flow.requested_at > ANSWER_LIMIT_S:
+                self._answer_seen(key, flow)
+
+    def _request_sent(self, key: int, flow: ObservedFlow, now: float) -> None:
         if not flow.requested_at:
             flow.backend.in_flight += 1
+            self._busy[key] = flow
         flow.requested_at = now
 
-    @staticmethod
-    def _answer_seen(flow: ObservedFlow) -> None:
+    def _answer_seen(self, key: int, flow: ObservedFlow) -> None:
         if flow.requested_at:
             flow.requested_at = 0.0
             flow.backend.in_flight -= 1
+            del self._busy[key]
 
     def _add(self, key: int, backend: ForwardingBackend, now: float) -> ObservedFlow:
         if len(self._flows) >= MAXIMUM_FLOWS:
@@ -110,5 +117,5 @@
         flow = self._flows.pop(key, None)
         if flow is None:
             return
-        self._answer_seen(flow)
+        self._answer_seen(key, flow)
         flow.backend.flows -= 1
--- a/sloepond/core/forwarding/forwarder.py
+++ b/sloepond/core/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 
 import random
 
+from sloepond.core.forwarding.admission import Admission, HeldOpening
 from sloepond.core.forwarding.backends import NO_TOKEN, BackendDirectory, Decision, ForwardingBackend
 from sloepond.core.forwarding.counters import ForwardingCounters
 from sloepond.core.forwarding.flow_observer import FlowObserver
@@ -24,6 +25,7 @@
 _NO_BACKEND = Decision(refusal=Refusal.NO_BACKEND, reset=True)
 _NO_TOKEN = Decision(refusal=Refusal.NO_TOKEN)
 _UNKNOWN_TOKEN = Decision(refusal=Refusal.UNKNOWN_TOKEN, lookup=True)
+_NO_ROOM = Decision(hold=True)
 _STALE = Decision(refusal=Refusal.STALE_KNOWLEDGE)
 
 
@@ -46,6 +48,7 @@
         self._counters = counters
         self._selector = Selector(zone, random_source)
         self.observer = FlowObserver()
+        self.admission = Admission()
         self.may_place = True
 
     def decide(self, segment: Segment, now: float) -> Decision:
@@ -69,6 +72,8 @@
         route = self._routes.find(segment.route_key)
         if route is None:
             return _NO_ROUTE
+        if self._must_wait(segment, route, now):
+            return _NO_ROOM
         backend = self._place(segment, route, now)
         if backend is None:
             return _NO_BACKEND
@@ -80,11 +85,58 @@
         copies = segment.acknowledgement
         first = self.observer.known_backend(segment) if copies else None
         if first is not None:
-            first.silences += 1
-            first.silent_until = now + SILENCE_S
-            self._counters.second_choices += 1
-            return self._choose(first.service, now, first.name)
-        return self._choose(self._routes.turns(route).next(), now, "")
+            return self._second_choice(first, now)
+        service = self._routes.turns(route).next()
+        if not self._has_room(service, now):
+            service = self._service_with_room(route, now) or service
+        return self._choose(service, now, "")
+
+    def _second_choice(self, first: ForwardingBackend, now: float) -> ForwardingBackend | None:
+        """Return another back end than the one that left an opening packet unanswered."""
+        first.silences += 1
+        first.silent_until = now + SILENCE_S
+        self._counters.second_choices += 1
+        return self._choose(first.service, now, first.name)
+
+    def _must_wait(self, segment: Segment, route: Route, now: float) -> bool:
+        """Tell whether there is room for a new flow nowhere, and it may wait for some."""
+        if segment.acknowledgement and self.observer.known_backend(segment) is not None:
+            return False
+        if any(self._has_room(share.service, now) for share in route.shares):
+            return False
+        if not any(self._backends.candidates(share.service) for share in route.shares):
+            return False
+        return self.admission.may_hold(segment)
+
+    def _has_room(self, service: str, now: float) -> bool:
+        return self.admission.room(self._backends.candidates(service), now) > 0
+
+    def _service_with_room(self, route: Route, now: float) -> str | None:
+        for share in route.shares:
+            if share.weight > 0 and self._has_room(share.service, now):
+                self._counters.flows_diverted += 1
+                return share.service
+        return None
+
+    def hold(self, segment: Segment, datagram: bytes, now: float) -> None:
+        """Let a new flow wait for room."""
+        route = self._routes.find(segment.route_key)
+        if route is None:
+            return
+        services = tuple(share.service for share in route.shares if share.weight > 0)
+        self.admission.hold(HeldOpening(segment, datagram, route.priority, services, now))
+        self._counters.flows_held += 1
+
+    def release(self, now: float) -> list[bytes]:
+        """Return the opening packets that waited and are to be decided on again."""
+        services = self.admission.held_services()
+        if not services:
+            return []
+        self.observer.expire_requests(now)
+        rooms = {
+            service: self.admission.room(self._backends.candidates(service), now) for service in services
+        }
+        return self.admission.release(rooms, now)
 
     def _choose(self, service: str, now: float, avoided: str) -> ForwardingBackend | None:
         candidates = self._backends.candidates(service)
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -16,8 +16,10 @@
     Command,
     CompleteStop,
     Event,
+    ForwardHeld,
     KnowledgeReceived,
     LogKind,
+    OpeningHeld,
     PeerMessageReceived,
     RoutesChanged,
     RoutesRead,
@@ -118,6 +120,7 @@
         """Start; `now` in seconds of a monotonic clock."""
         self._now = now
         self._housekeeping_at = now + HOUSEKEEPING_S
+        self._forwarder.admission.start(now)
         self._exchange.start(now)
         self._ask_store()
         return self._finish()
@@ -145,6 +148,8 @@
             self._exchange.knowledge_received(event, now)
         elif isinstance(event, UnknownTokenMet):
             self._exchange.unknown_token(event, now)
+        elif isinstance(event, OpeningHeld):
+            self._forwarder.hold(event.segment, event.datagram, now)
         else:
             self._store_answered(event)
         self._ask_store()
@@ -157,7 +162,11 @@
     def _finish(self) -> list[Command]:
         self._commands.extend(self._exchange.take_commands())
         deadline = min(
-            self._housekeeping_at, self._stop_at, self._trust_again_at, self._exchange.next_deadline()
+            self._housekeeping_at,
+            self._stop_at,
+            self._trust_again_at,
+            self._exchange.next_deadline(),
+            self._forwarder.admission.next_deadline(self._now),
         )
         for follower in self._followers.values():
             deadline = min(deadline, follower.next_deadline())
@@ -244,10 +253,16 @@
         if self._now >= self._trust_again_at:
             self._trust()
         self._exchange.on_time(self._now)
+        released = self._forwarder.release(self._now)
+        if released:
+            self._commands.append(ForwardHeld(tuple(released)))
         if self._now >= self._housekeeping_at:
             self._housekeeping_at = self._now + HOUSEKEEPING_S
             self.backends.forget_departed(self._now)
             self._forwarder.observer.forget_resting(self._now)
+            self._forwarder.observer.expire_requests(self._now)
+            self._forwarder.admission.forget_admitted(self._now)
+            self._forwarder.admission.balancers = self._exchange.balancers
 
     def _notice_stall(self, late_s: float) -> None:
         """Place no flow until what is known has been confirmed, for a while at most."""
--- a/sloepond/core/forwarding/packets.py
+++ b/sloepond/core/forwarding/packets.py
@@ -50,7 +50,6 @@
 
     NO_ROUTE = "no_route"
     NO_BACKEND = "no_backend"
-    OVERLOADED = "overloaded"
     UNKNOWN_TOKEN = "unknown_token"
     NO_TOKEN = "no_token"
     NOT_CONFIGURED = "not_configured"
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -66,6 +66,11 @@
         self.backends_changed_at_revision = 0
         self.is_leaving = False
 
+    @property
+    def balancers(self) -> int:
+        """Balancers known, this one included."""
+        return len(self._peers) + 1
+
     def start(self, now: float) -> None:
         """Start heartbeats."""
         self._heartbeat_at = now
--- a/sloepond/runtime/forwarding/data_path.py
+++ b/sloepond/runtime/forwarding/data_path.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from sloepond.core.forwarding.backends import Decision
-from sloepond.core.forwarding.events import UnknownTokenMet
+from sloepond.core.forwarding.events import Event, OpeningHeld, UnknownTokenMet
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.core.forwarding.packets import Refusal, Segment
 from sloepond.runtime.forwarding.drivers import PacketCodec
@@ -20,7 +20,7 @@
 class DataPath:
     """Forwards callers' packets.
 
-    :ivar on_unknown_token: called for a packet whose token is to be looked up.
+    :ivar report: takes events about packets that wait.
     :param edge: bound, non-blocking UDP socket; packets also leave through it.
     """
 
@@ -32,7 +32,7 @@
         self._node = node
         self._logs = logs
         self._counters = node.counters
-        self.on_unknown_token: Callable[[UnknownTokenMet], None] | None = None
+        self.report: Callable[[Event], None] = _ignore
         self._refusal_counters = {refusal: f"refused_{refusal.value}" for refusal in Refusal}
 
     def drain(self, now: float) -> int:
@@ -64,21 +64,19 @@
             return
         decision = self._node.decide(segment, now)
         backend = decision.backend
+        if decision.hold:
+            self._logs.packet_waits(segment, self._node)
+            self.report(OpeningHeld(segment, datagram))
+            return
         if backend is None:
-            self._refuse(segment, decision)
-            if decision.lookup:
-                self._look_up(segment.token, datagram)
+            self._refuse(segment, decision, datagram)
             return
         self._counters.packets_forwarded += 1
         self._send(self._codec.encode(datagram, backend), backend.endpoint)
         if segment.is_opening:
             self._logs.flow_placed(segment, backend, self._node)
 
-    def _look_up(self, token: int, datagram: bytes) -> None:
-        if self.on_unknown_token is not None:
-            self.on_unknown_token(UnknownTokenMet(token, datagram))
-
-    def _refuse(self, segment: Segment, decision: Decision) -> None:
+    def _refuse(self, segment: Segment, decision: Decision, datagram: bytes) -> None:
         assert decision.refusal is not None
         name = self._refusal_counters[decision.refusal]
         setattr(self._counters, name, getattr(self._counters, name) + 1)
@@ -86,9 +84,15 @@
         if decision.reset:
             self._counters.resets_sent += 1
             self._send(self._codec.encode_reset(segment), self._codec.caller_endpoint(segment))
+        elif decision.lookup:
+            self.report(UnknownTokenMet(segment.token, datagram))
 
     def _send(self, datagram: bytes, endpoint: tuple[str, int]) -> None:
         try:
             self._edge.sendto(datagram, endpoint)
         except OSError:
             self._counters.sends_failed += 1
+
+
+def _ignore(event: Event) -> None:
+    """Take an event before anyone listens."""
--- a/sloepond/runtime/forwarding/early.py
+++ b/sloepond/runtime/forwarding/early.py
@@ -17,10 +17,10 @@
 
 from sloepond.core.forwarding.events import (
     Command,
+    Event,
     ForwardHeld,
     ReadSubject,
     StoreEvent,
-    UnknownTokenMet,
     WriteLog,
 )
 from sloepond.core.forwarding.node import ForwardingNode
@@ -137,7 +137,7 @@
 
         :param signals: filled by signal handlers.
         """
-        self._data_path.on_unknown_token = self._unknown_token
+        self._data_path.report = self._report
         started = monotonic_seconds()
         self._carry_out(self._node.start(started))
         while not self._node.is_configured and monotonic_seconds() - started < FIRST_READS_S:
@@ -170,7 +170,7 @@
         if self._node.is_configured:
             self._poll.register(self._edge, select.POLLIN)
 
-    def _unknown_token(self, event: UnknownTokenMet) -> None:
+    def _report(self, event: Event) -> None:
         self._carry_out(self._node.handle(event, monotonic_seconds()))
 
     def _carry_out(self, commands: list[Command]) -> None:
--- a/sloepond/runtime/forwarding/log_writer.py
+++ b/sloepond/runtime/forwarding/log_writer.py
@@ -71,6 +71,12 @@
             )
             self._put(LogKind.FLOW_PLACED, flow_name(segment), detail)
 
+    def packet_waits(self, segment: Segment, node: KnowledgeVersions) -> None:
+        """Write a line about a new flow that waits for room."""
+        if self._may_write():
+            detail = f"copy={segment.acknowledgement} {node.knowledge(monotonic_seconds())}"
+            self._put(LogKind.FLOW_WAITS, flow_name(segment), detail)
+
     def packet_refused(self, segment: Segment, refusal: Refusal, node: KnowledgeVersions) -> None:
         """Write a line about a packet that goes nowhere."""
         if self._may_write():
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -58,7 +58,7 @@
         self._logs = logs
         self._reload = reload
         self._data_path = data_path
-        self._data_path.on_unknown_token = self.dispatch
+        self._data_path.report = self.dispatch
         self._peers = PeerChannel(sockets.peer, sockets.knowledge, node, self.dispatch)
         self._was_ready = False
         self._configured = trio.Event()
