--- /dev/null
+++ b/features/forwarding/lifecycle.feature
@@ -0,0 +1,20 @@
+Feature: A forwarding balancer stops, sleeps and wakes without harm
+
+  Scenario: A planned stop leaves the routers first and forwards on
+    Given a forwarding node with routes and back ends
+    When forwarding is asked to stop
+    Then forwarding is not ready at once, forwards on, and completes the stop in less than the grace time
+
+  Scenario: A process that wakes late places no flow before it has read the store
+    Given a forwarding node with routes and back ends
+    When forwarding has slept for three seconds
+    Then forwarding forwards open flows, places none, and places again once everything was read
+
+  Scenario: A process that wakes late while the store is silent places again after a second
+    Given a forwarding node with routes and back ends
+    When forwarding has slept for three seconds
+    Then forwarding places again after a second without the store
+
+  Scenario: A node without knowledge is not ready
+    Given a fresh forwarding node whose store is silent
+    Then forwarding is not ready and places nothing
--- /dev/null
+++ b/features/forwarding/placement.feature
@@ -0,0 +1,32 @@
+Feature: New flows go to permitted back ends, in the shares the operator gave
+
+  Scenario: Shares are exact over time, also for few flows
+    Then forwarding property: turns stay within one flow of every share
+
+  Scenario: A back end that has said it leaves is given no flow again
+    Then forwarding property: no flow is placed on a back end that leaves, is gone or stands elsewhere
+
+  Scenario: A lapsed list does not leave a service without back ends at once
+    Given a forwarding node with routes and back ends
+    When forwarding finds the list empty
+    Then forwarding places flows on those that left without a word for two seconds, then on none
+
+  Scenario: An entry that lapsed and came back takes flows again
+    Given a forwarding node with routes and back ends
+    When forwarding finds the list empty and then whole again
+    Then forwarding places flows on every back end
+
+  Scenario: A copied opening packet goes to another back end
+    Given a forwarding node with routes and back ends
+    When forwarding gets a copy of an opening packet
+    Then forwarding gives it to another back end of the same service
+
+  Scenario: A back end that is slow from its start is given fewer flows
+    Given a forwarding node with routes and back ends
+    When forwarding learns of a back end that is slow from its start
+    Then forwarding gives it less than half of an equal part
+
+  Scenario: A packet to no route is refused at once, and to no back end too
+    Given a forwarding node with routes and back ends
+    Then forwarding resets a flow to no route
+    And forwarding resets a flow to a service without back ends
--- /dev/null
+++ b/features/forwarding/store.feature
@@ -0,0 +1,25 @@
+Feature: What the store says is followed, whatever it answers
+
+  Scenario: Routes never go back
+    Then forwarding property: the version in force never falls, in any order of answers
+
+  Scenario: A change made while watches were cut is known after the next read
+    Given a forwarding node with routes and back ends
+    When forwarding has its watches cut and the new ones stay silent
+    Then forwarding reads everything again at once, and once more a little later
+
+  Scenario: Whatever fails, everything is read before the next watch
+    Then forwarding property: after a failed call a read is answered before a watch begins
+
+  Scenario: A store that fails is asked at a bounded rate
+    Then forwarding property: calls to a failing store stay below three a second for each subject
+
+  Scenario: A peer that knows more makes this balancer read
+    Given a forwarding node with routes and back ends
+    When forwarding hears of a newer version from a peer and its watch stays silent
+    Then forwarding reads the routes within half a second
+
+  Scenario: A fresh balancer learns from peers while the store is silent
+    Given a fresh forwarding node whose store is silent
+    When forwarding is told all a peer knows
+    Then forwarding is ready and forwards to back ends that left the list
--- /dev/null
+++ b/features/steps/forwarding_placement_steps.py
@@ -0,0 +1,281 @@
+"""Steps on the placement of new flows and on admission."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from behave import then, when
+from forwarding_model import EMPTY, EXPORT, MIXED, NOWHERE, STREAM, Harness, fresh_node, record, records, segment
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from sloepond.core.forwarding.admission import LONGEST_HOLD_S
+from sloepond.core.forwarding.backends import BackendState
+from sloepond.core.forwarding.events import (
+    BackendsChanged,
+    BackendsRead,
+    DepartedBackend,
+    ForwardHeld,
+    OpeningHeld,
+    TimerFired,
+)
+from sloepond.core.forwarding.flow_observer import FlowObserver
+from sloepond.core.forwarding.packets import Refusal
+from sloepond.core.forwarding.places import PlaceRules
+from sloepond.core.forwarding.routes import Share, WeightedTurns
+
+PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=60)
+SETTLED_S = 5.0
+
+
+def place(harness, route=STREAM, port=1000, **options):
+    """Return the decision on an opening packet."""
+    return harness.node.decide(segment(route, port, opening=True, **options), harness.now)
+
+
+def settle(harness):
+    """Let the balancer grow old enough to use all room it has."""
+    harness.run_to(harness.now + SETTLED_S, TimerFired())
+
+
+@then("forwarding property: turns stay within one flow of every share")
+def exact_turns(context):
+    @PROPERTY
+    @for_all(
+        st.lists(st.integers(0, 100), min_size=1, max_size=5).filter(sum),
+        st.integers(1, 300),
+        st.integers(0, 2**32),
+    )
+    def check(weights, flows, seed):
+        shares = tuple(Share(f"s{n}", weight) for n, weight in enumerate(weights))
+        turns = WeightedTurns(shares, random.Random(seed))
+        counts = Counter(turns.next() for _ in range(flows))
+        for share in shares:
+            expected = flows * share.weight / sum(weights)
+            assert abs(counts[share.service] - expected) < 2.0
+            assert share.weight > 0 or counts[share.service] == 0
+
+    check()
+
+
+@then("forwarding property: no flow is placed on a back end that leaves, is gone or stands elsewhere")
+def no_flow_to_leaving(context):
+    @PROPERTY
+    @for_all(st.lists(st.tuples(st.integers(1, 9), st.integers(0, 3)), min_size=1, max_size=60))
+    def check(changes):
+        places = PlaceRules({"booking": frozenset({"north", "south"})})
+        harness = Harness(fresh_node(places=places)).configure(
+            backends=(record(90, zone="south"), record(91, zone="west"))
+        )
+        forbidden = {91}
+        revision = 20
+        for number, kind in changes:
+            revision += 1
+            if kind == 0:
+                change = record(number, revision=revision)
+            elif kind == 1:
+                change = record(number, revision=revision, state=BackendState.LEAVING)
+                forbidden.add(number)
+            else:
+                change = DepartedBackend(record(number).name, revision)
+            harness.handle(BackendsChanged(revision, (change,)))
+            gone = {b.number for b in harness.node.backends if b.state is not BackendState.READY}
+            for port in range(3):
+                decision = place(harness, port=revision * 10 + port)
+                if decision.backend is not None:
+                    assert decision.backend.number not in forbidden
+                    assert decision.backend.number not in gone or gone >= {90}
+
+    check()
+
+
+@when("forwarding finds the list empty")
+def list_empty(context):
+    settle(context.harness)
+    context.harness.handle(BackendsRead(40, ()))
+
+
+@then("forwarding places flows on those that left without a word for two seconds, then on none")
+def last_resort(context):
+    harness = context.harness
+    assert place(harness).backend is not None
+    harness.run_to(harness.now + 1.9, TimerFired())
+    assert place(harness, port=1001).backend is not None
+    harness.run_to(harness.now + 0.2, TimerFired())
+    decision = place(harness, port=1002)
+    assert decision.backend is None and decision.reset
+    assert decision.refusal is Refusal.NO_BACKEND
+
+
+@when("forwarding finds the list empty and then whole again")
+def list_whole_again(context):
+    harness = context.harness
+    settle(harness)
+    harness.handle(BackendsRead(40, ()))
+    harness.run_to(harness.now + 3.0, TimerFired())
+    harness.handle(BackendsRead(60, tuple(record(n, revision=50) for n in range(1, 6))))
+
+
+@then("forwarding places flows on every back end")
+def every_backend(context):
+    harness = context.harness
+    placed = {place(harness, port=1000 + n).backend.number for n in range(5)}
+    assert placed == {1, 2, 3, 4, 5}
+
+
+@when("forwarding gets a copy of an opening packet")
+def copied_opening(context):
+    context.first = place(context.harness).backend
+    context.harness.now += 0.2
+    context.second = place(context.harness, copies=1).backend
+
+
+@then("forwarding gives it to another back end of the same service")
+def another_backend(context):
+    assert context.first is not context.second
+    assert context.first.service == context.second.service
+    assert place(context.harness, port=1001).backend is not context.first
+
+
+@when("forwarding learns of a back end that is slow from its start")
+def cold_backend(context):
+    harness = context.harness
+    settle(harness)
+    harness.handle(BackendsChanged(30, (record(20, revision=30, cold_s=30.0),)))
+
+
+@then("forwarding gives it less than half of an equal part")
+def less_to_cold(context):
+    harness = context.harness
+    placed = Counter()
+    for port in range(60):
+        backend = place(harness, port=port).backend
+        placed[backend.number if backend else None] += 1
+        harness.now += 0.005
+    assert placed[20] < 60 / 6 / 2 + 1
+
+
+@then("forwarding resets a flow to no route")
+def reset_no_route(context):
+    decision = place(context.harness, NOWHERE)
+    assert decision.reset and decision.refusal is Refusal.NO_ROUTE
+
+
+@then("forwarding resets a flow to a service without back ends")
+def reset_no_backend(context):
+    decision = place(context.harness, EMPTY)
+    assert decision.reset and decision.refusal is Refusal.NO_BACKEND
+
+
+@when("forwarding gets more new flows at once than there is room for")
+def too_many_flows(context):
+    harness = context.harness
+    context.placed_at = {}
+    context.held = 0
+    for port in range(40):
+        offer(context, segment(EXPORT, port, opening=True))
+    assert 0 < len(context.placed_at) < 40
+    assert context.held == 40 - len(context.placed_at)
+    end = harness.now + LONGEST_HOLD_S + 0.05
+    while harness.now < end:
+        harness.run_to(harness.now + 0.01, TimerFired())
+        for command in harness.all(ForwardHeld):
+            for datagram in command.datagrams:
+                offer(context, segment(EXPORT, int(datagram), opening=True))
+
+
+def offer(context, opening):
+    """Decide on an opening packet as the data path does."""
+    harness = context.harness
+    decision = harness.node.decide(opening, harness.now)
+    if decision.backend is not None:
+        context.placed_at[opening.source_port] = harness.now
+    else:
+        assert decision.hold and not decision.reset
+        context.held += 1
+        harness.handle(OpeningHeld(opening, str(opening.source_port).encode()))
+
+
+@then("forwarding lets the rest wait and places all of them within 0.6 seconds")
+def all_placed(context):
+    assert sorted(context.placed_at) == list(range(40))
+    assert max(context.placed_at.values()) - 100.0 <= LONGEST_HOLD_S + 0.02
+    assert context.held < 40
+
+
+@when("forwarding has flows of two priorities waiting and one place becomes free")
+def two_priorities(context):
+    harness = context.harness
+    context.opened = []
+    for port in range(9):
+        decision = place(harness, EXPORT, port)
+        if decision.hold:
+            break
+        context.opened.append((port, decision.backend))
+    for port in range(100, 110):
+        if place(harness, STREAM, port).hold:
+            break
+    harness.handle(OpeningHeld(segment(STREAM, 201, opening=True), b"stream"))
+    harness.handle(OpeningHeld(segment(EXPORT, 202, opening=True), b"export"))
+    port, backend = context.opened[0]
+    harness.node.decide(segment(EXPORT, port, backend.token, acknowledgement=5), harness.now)
+    harness.node.decide(segment(EXPORT, port, backend.token, length=9, acknowledgement=5), harness.now)
+    harness.node.decide(segment(EXPORT, port, backend.token, acknowledgement=500), harness.now)
+    harness.run_to(harness.now + 0.02, TimerFired())
+
+
+@then("forwarding places the more urgent one")
+def urgent_first(context):
+    released = [d for command in context.harness.all(ForwardHeld) for d in command.datagrams]
+    assert released == [b"export"]
+
+
+@when("forwarding fills one part of a split")
+def fill_one_part(context):
+    harness = context.harness
+    for port in range(20):
+        if place(harness, STREAM, port).hold:
+            return
+    raise AssertionError("there was room for 20 flows")
+
+
+@then("forwarding gives new flows of the split to the other part")
+def other_part(context):
+    decision = place(context.harness, MIXED, 500)
+    assert decision.backend.service == "roster"
+    assert context.harness.node.counters.flows_diverted >= 1
+
+
+@then("forwarding property: requests in flight are counted from packets and never below zero")
+def counted_requests(context):
+    @PROPERTY
+    @for_all(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 4), st.integers(0, 9)), max_size=80))
+    def check(steps):
+        harness = Harness().configure()
+        backends = [harness.node.backends.by_name(r.name) for r in records()]
+        observer = FlowObserver()
+        now = 100.0
+        for port, action, value in steps:
+            now += 0.02 * value
+            backend = backends[(port + value) % 2]
+            if action == 0:
+                observer.opening(segment(port=port, opening=True), backend, now)
+            elif action == 1:
+                observer.packet(segment(port=port, length=10), backend, now)
+            elif action == 2:
+                observer.packet(segment(port=port, acknowledgement=value), backend, now)
+            elif action == 3:
+                closing = segment(port=port)
+                closing.is_closing = True
+                observer.packet(closing, backend, now)
+            else:
+                observer.expire_requests(now)
+                observer.forget_resting(now)
+            assert all(0 <= b.in_flight <= b.flows for b in backends)
+            assert sum(b.flows for b in backends) == len(observer)
+        observer.forget_resting(now + 60.0)
+        assert all(b.in_flight == 0 and b.flows == 0 for b in backends)
+
+    check()
--- /dev/null
+++ b/features/steps/forwarding_store_steps.py
@@ -0,0 +1,243 @@
+"""Steps on what is followed in the store, told by peers, and on stops and stalls."""
+
+from __future__ import annotations
+
+import random
+
+from behave import given, then, when
+from forwarding_model import ROUTES, STREAM, SUBJECTS, Harness, fresh_node, record, records, segment
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from sloepond.core.forwarding.backends import BackendState
+from sloepond.core.forwarding.events import (
+    BackendsRead,
+    CompleteStop,
+    FetchKnowledge,
+    KnowledgeReceived,
+    PeerMessageReceived,
+    ReadSubject,
+    RoutesChanged,
+    RoutesRead,
+    StopRequested,
+    StoreCallFailed,
+    StoreFailure,
+    Subject,
+    TimerFired,
+    WatchSubject,
+)
+from sloepond.core.forwarding.follower import CONFIRM_AFTER_S, Follower
+from sloepond.core.forwarding.node import STALL_TRUST_S, STOP_FORWARD_S
+from sloepond.core.forwarding.packets import Refusal
+from sloepond.core.forwarding.peer_messages import Heartbeat, Knowledge, KnownBackend
+from sloepond.core.forwarding.routes import RouteConfiguration
+
+PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=60)
+GRACE_S = 6.0
+FAILURES = st.sampled_from(tuple(StoreFailure))
+
+
+def version(number):
+    """Return routes of a version."""
+    return RouteConfiguration(number, ROUTES.routes)
+
+
+@then("forwarding property: the version in force never falls, in any order of answers")
+def never_back(context):
+    @PROPERTY
+    @for_all(st.lists(st.tuples(st.booleans(), st.lists(st.integers(1, 30), max_size=3)), max_size=30))
+    def check(answers):
+        harness = Harness()
+        highest = 0
+        for is_read, versions in answers:
+            if is_read:
+                newest = version(versions[0]) if versions else None
+                harness.handle(RoutesRead(5, newest))
+                versions = versions[:1]
+            else:
+                harness.handle(RoutesChanged(5, tuple(version(v) for v in versions)))
+            highest = max([highest, *versions])
+            assert harness.node.routes.version == highest
+
+    check()
+
+
+@when("forwarding has its watches cut and the new ones stay silent")
+def watches_cut(context):
+    harness = context.harness
+    harness.run_to(harness.now + 2.0, TimerFired())
+    harness.commands.clear()
+    for subject in SUBJECTS:
+        harness.handle(StoreCallFailed(subject, StoreFailure.UNREACHABLE, True))
+    harness.run_to(harness.now + 0.05, TimerFired())
+
+
+@then("forwarding reads everything again at once, and once more a little later")
+def read_twice(context):
+    harness = context.harness
+    for subject in SUBJECTS:
+        assert len(harness.reads(subject)) == 1
+    harness.handle(RoutesRead(11, version(8)))
+    harness.handle(BackendsRead(11, records()))
+    assert harness.node.routes.version == 8
+    assert len(harness.all(WatchSubject)) == 2
+    harness.run_to(harness.now + CONFIRM_AFTER_S + 0.05, TimerFired())
+    for subject in SUBJECTS:
+        assert len(harness.reads(subject)) == 1
+    harness.handle(RoutesRead(14, version(9)))
+    assert harness.node.routes.version == 9
+
+
+@then("forwarding property: after a failed call a read is answered before a watch begins")
+def read_before_watch(context):
+    @PROPERTY
+    @for_all(st.lists(st.tuples(st.integers(0, 3), FAILURES), min_size=5, max_size=60), st.integers(0, 99))
+    def check(steps, seed):
+        follower = Follower(Subject.ROUTES, random.Random(seed))
+        now, reading, watching, trusted, revision = 0.0, False, False, False, 0
+        for action, failure in steps:
+            now = max(now + 0.01, min(follower.next_deadline(), now + 0.7))
+            for call in follower.on_time(now):
+                if isinstance(call, ReadSubject):
+                    assert not reading
+                    reading = True
+                else:
+                    assert trusted and not watching and call.after == revision
+                    watching = True
+            revision += 1
+            if action == 0 and reading:
+                reading, trusted = False, True
+                follower.read(revision, now)
+            elif action == 1 and watching:
+                watching = False
+                follower.watched(revision, now)
+            elif action == 2 and watching:
+                watching = trusted = False
+                follower.failed(failure, True, now)
+            elif action == 3 and reading:
+                reading = trusted = False
+                follower.failed(failure, False, now)
+            else:
+                revision -= 1
+            revision = follower.revision
+        assert reading or watching or follower.next_deadline() < now + 30.0
+
+    check()
+
+
+@then("forwarding property: calls to a failing store stay below three a second for each subject")
+def bounded_rate(context):
+    @PROPERTY
+    @for_all(FAILURES, st.integers(0, 99))
+    def check(failure, seed):
+        follower = Follower(Subject.BACKENDS, random.Random(seed))
+        now, calls = 0.0, 0
+        while now < 20.0:
+            for call in follower.on_time(now):
+                calls += 1
+                follower.failed(failure, isinstance(call, WatchSubject), now)
+            now = max(now + 0.001, follower.next_deadline())
+        assert 20 <= calls <= 60
+
+    check()
+
+
+@when("forwarding hears of a newer version from a peer and its watch stays silent")
+def hears_newer(context):
+    harness = context.harness
+    harness.run_to(harness.now + 2.0, TimerFired())
+    harness.commands.clear()
+    heartbeat = Heartbeat(9, 0, False, ("10.1.0.9",))
+    harness.handle(PeerMessageReceived("10.1.0.2", heartbeat))
+    harness.run_to(harness.now + 0.5, TimerFired())
+
+
+@then("forwarding reads the routes within half a second")
+def reads_routes(context):
+    assert len(context.harness.reads(Subject.ROUTES)) == 1
+    assert context.harness.reads(Subject.BACKENDS) == []
+
+
+@given("a fresh forwarding node whose store is silent")
+def silent_store(context):
+    context.harness = Harness()
+    context.harness.run_to(context.harness.now + 0.4, TimerFired())
+
+
+@when("forwarding is told all a peer knows")
+def told_all(context):
+    harness = context.harness
+    assert len(harness.all(FetchKnowledge)) == 3
+    departed = record(30, state=BackendState.DEPARTED)
+    known = tuple(KnownBackend(r, 0.0) for r in records()) + (KnownBackend(departed, 12.0),)
+    harness.handle(KnowledgeReceived("10.1.0.2", Knowledge(ROUTES, 3.0, known, 3.0)))
+
+
+@then("forwarding is ready and forwards to back ends that left the list")
+def ready_from_peers(context):
+    node, now = context.harness.node, context.harness.now
+    assert node.is_ready
+    assert node.decide(segment(token=30), now).backend.number == 30
+    assert node.decide(segment(STREAM, opening=True), now).backend.number in range(1, 6)
+
+
+@when("forwarding is asked to stop")
+def asked_to_stop(context):
+    harness = context.harness
+    harness.run_to(harness.now + 2.0, TimerFired())
+    context.stopped_at = harness.now
+    harness.handle(StopRequested())
+
+
+@then("forwarding is not ready at once, forwards on, and completes the stop in less than the grace time")
+def stops(context):
+    harness = context.harness
+    assert not harness.node.is_ready
+    harness.run_to(harness.now + STOP_FORWARD_S - 0.01, TimerFired())
+    assert harness.node.decide(segment(token=1), harness.now).backend.number == 1
+    assert harness.node.decide(segment(STREAM, opening=True), harness.now).backend is not None
+    assert harness.all(CompleteStop) == []
+    harness.run_to(harness.now + 0.02, TimerFired())
+    assert harness.all(CompleteStop) == [CompleteStop()]
+    assert harness.now - context.stopped_at < GRACE_S
+
+
+@when("forwarding has slept for three seconds")
+def slept(context):
+    harness = context.harness
+    harness.run_to(harness.now + 2.0, TimerFired())
+    harness.commands.clear()
+    harness.now += 3.0
+    harness.handle(TimerFired())
+
+
+@then("forwarding forwards open flows, places none, and places again once everything was read")
+def places_after_reads(context):
+    harness = context.harness
+    assert harness.node.counters.stalls_detected == 1
+    assert harness.node.decide(segment(token=1), harness.now).backend.number == 1
+    opening = segment(STREAM, opening=True)
+    assert harness.node.decide(opening, harness.now).refusal is Refusal.STALE_KNOWLEDGE
+    assert all(len(harness.reads(subject)) == 1 for subject in SUBJECTS)
+    harness.now += 0.01
+    harness.handle(RoutesRead(20, version(9)))
+    assert harness.node.decide(opening, harness.now).refusal is Refusal.STALE_KNOWLEDGE
+    harness.handle(BackendsRead(20, records()))
+    assert harness.node.decide(opening, harness.now).backend is not None
+
+
+@then("forwarding places again after a second without the store")
+def places_without_store(context):
+    harness = context.harness
+    harness.run_to(harness.now + STALL_TRUST_S + 0.01, TimerFired())
+    assert harness.node.decide(segment(STREAM, opening=True), harness.now).backend is not None
+
+
+@then("forwarding is not ready and places nothing")
+def not_ready(context):
+    harness = context.harness
+    assert not harness.node.is_ready
+    decision = harness.node.decide(segment(STREAM, opening=True), harness.now)
+    assert decision.refusal is Refusal.NOT_CONFIGURED and not decision.reset
+    assert fresh_node().peer_knowledge(0.0) is None
--- a/sloepond/core/forwarding/backends.py
+++ b/sloepond/core/forwarding/backends.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from sloepond.core.forwarding.packets import Refusal
+from sloepond.core.forwarding.places import ANYWHERE, PlaceRules
 
 TOKEN_BITS = 32
 TOKEN_MASK = (1 << TOKEN_BITS) - 1
@@ -155,9 +156,12 @@
 
     Two back ends with one token: the one known first keeps it; the other is given
     no flow until the first is forgotten, so the token always means one of them.
+
+    :param places: where flows may go; a back end elsewhere is given none.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, places: PlaceRules = ANYWHERE) -> None:
+        self._places = places
         self._by_name: dict[str, ForwardingBackend] = {}
         self._by_token: dict[int, ForwardingBackend] = {}
         self._by_service: dict[str, dict[str, ForwardingBackend]] = {}
@@ -194,7 +198,7 @@
             if backend.state is BackendState.DEPARTED
             and not backend.said_leaving
             and backend.departed_at >= since
-            and backend.name not in self._shadowed
+            and self._may_take_flows(backend)
         ]
 
     def put(self, record: BackendRecord, now: float) -> bool:
@@ -259,7 +263,10 @@
         return members.values() if members else ()
 
     def _takes_flows(self, backend: ForwardingBackend) -> bool:
-        return backend.state is BackendState.READY and backend.name not in self._shadowed
+        return backend.state is BackendState.READY and self._may_take_flows(backend)
+
+    def _may_take_flows(self, backend: ForwardingBackend) -> bool:
+        return backend.name not in self._shadowed and self._places.is_permitted(backend.service, backend.zone)
 
     def _add(self, backend: ForwardingBackend) -> None:
         self._by_name[backend.name] = backend
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -36,6 +36,7 @@
 from sloepond.core.forwarding.peer_exchange import PeerExchange
 from sloepond.core.forwarding.peer_messages import Knowledge
 from sloepond.core.forwarding.peers import PeerTable
+from sloepond.core.forwarding.places import ANYWHERE, PlaceRules
 from sloepond.core.forwarding.routes import RouteConfiguration, RouteTable
 
 STOP_FORWARD_S = 1.8
@@ -55,14 +56,20 @@
     :param random_source: seeded by the caller.
     :param ip: address at which peers reach this balancer.
     :param seeds: addresses of balancers that may be up.
+    :param places: where flows may go.
     """
 
     def __init__(
-        self, zone: str, random_source: random.Random, ip: str = "", seeds: tuple[str, ...] = ()
+        self,
+        zone: str,
+        random_source: random.Random,
+        ip: str = "",
+        seeds: tuple[str, ...] = (),
+        places: PlaceRules = ANYWHERE,
     ) -> None:
         self.counters = ForwardingCounters()
         self.routes = RouteTable(random_source)
-        self.backends = BackendDirectory()
+        self.backends = BackendDirectory(places)
         self._forwarder = Forwarder(zone, self.routes, self.backends, self.counters, random_source)
         self._followers = {
             Subject.ROUTES: Follower(Subject.ROUTES, random_source),
