--- a/features/steps/forwarding_placement_steps.py
+++ b/features/steps/forwarding_placement_steps.py
@@ -6,7 +6,18 @@
 from collections import Counter
 
 from behave import then, when
-from forwarding_model import EMPTY, EXPORT, MIXED, NOWHERE, STREAM, Harness, fresh_node, record, records, segment
+from forwarding_model import (
+    EMPTY,
+    EXPORT,
+    MIXED,
+    NOWHERE,
+    STREAM,
+    Harness,
+    fresh_node,
+    record,
+    records,
+    segment,
+)
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
--- a/features/steps/forwarding_platform_steps.py
+++ b/features/steps/forwarding_platform_steps.py
@@ -172,9 +172,7 @@
         st.just(encode({**item("op/config", b'{"version":1,"routes":[{"name":"x"}]}', 1), "at": 1})),
     )
     statuses = st.sampled_from((200, 200, 200, 404, 410, 429, 500, 503))
-    answers = st.one_of(
-        st.builds(HttpResponse, statuses, bodies), st.sampled_from(tuple(HttpFailure))
-    )
+    answers = st.one_of(st.builds(HttpResponse, statuses, bodies), st.sampled_from(tuple(HttpFailure)))
     events = (BackendsRead, RoutesRead, StoreCallFailed, BackendsChanged, RoutesChanged)
 
     @PROPERTY
--- /dev/null
+++ b/features/steps/forwarding_process_steps.py
@@ -0,0 +1,110 @@
+"""Steps on the balancer as a process."""
+
+from __future__ import annotations
+
+import signal
+import struct
+
+from behave import given, then, when
+from forwarding_standins import ACK, HEAD, ROUTE, SYN, Stage, packet, wait_for
+
+NO_ROUTE = ("198.18.0.9", 80)
+RST = 128
+
+
+@given("platform stand-ins of a store and of two targets")
+def standins(context):
+    context.stage = Stage()
+    context.add_cleanup(context.stage.close)
+
+
+@when("a platform balancer is started")
+def started(context):
+    context.balancer = context.stage.start_balancer()
+
+
+@given("a platform balancer that is ready")
+def started_and_ready(context):
+    started(context)
+    wait_for(context.balancer.is_ready, "readiness")
+
+
+@then("the platform balancer becomes ready and forwards a flow to one target")
+def forwards(context):
+    stage, balancer = context.stage, context.balancer
+    wait_for(balancer.is_ready, "readiness")
+    stage.send(balancer, packet(1000, SYN))
+    target, opening = wait_for(lambda: stage.target_of(HEAD.pack(7, 0, *source(1000))[:16]), "SYN")
+    context.token = struct.unpack_from(">I", opening, 36)[0]
+    assert context.token == struct.unpack_from(">Q", opening, 0)[0]
+    stage.send(balancer, packet(1000, ACK, ack=5, echo=context.token, data=b"first request"))
+    again, data = wait_for(lambda: stage.target_of(b"first request"), "data")
+    assert again is target
+    assert data[:8] == opening[:8]
+
+
+def source(port):
+    """Return the fields of a head from the source on."""
+    head = packet(port, SYN)
+    return HEAD.unpack(head)[2:]
+
+
+@then("the platform balancer refuses a flow to no route")
+def refuses(context):
+    context.stage.send(context.balancer, packet(1001, SYN, route=NO_ROUTE))
+    reset = context.stage.client.recv(4096)
+    fields = HEAD.unpack(reset)
+    assert fields[8] == RST and fields[3] == NO_ROUTE[1] and fields[4] == 1001
+
+
+@then("the platform balancer goes on after SIGHUP and shows its metrics")
+def goes_on(context):
+    context.balancer.signal(signal.SIGHUP)
+    wait_for(lambda: "settings_changed" in context.balancer.log.read_text(), "the log of a reload")
+    assert context.balancer.is_ready()
+    status, text = wait_for(lambda: context.balancer.get(context.balancer.metrics, "/metrics"), "metrics")
+    assert status == 200
+    assert "sloepond_flows_placed_total 1" in text
+    assert "sloepond_route_version 4" in text
+
+
+@when("the platform balancer is told to stop")
+def told_to_stop(context):
+    context.balancer.signal(signal.SIGTERM)
+
+
+@then("the platform balancer is not ready, forwards the flow on and ends with code 0")
+def ends(context):
+    stage, balancer = context.stage, context.balancer
+    wait_for(lambda: (balancer.get(balancer.readiness, "/") or (0,))[0] == 503, "not ready")
+    stage.send(balancer, packet(1000, ACK, ack=5, echo=context.token, data=b"last request"))
+    wait_for(lambda: stage.target_of(b"last request"), "data while stopping")
+    assert balancer.process.wait(timeout=20) == 0
+    assert '"stopped"' in balancer.log.read_text()
+
+
+@when("a platform balancer is started and a flow is opened before it is ready")
+def opened_early(context):
+    started(context)
+    stage = context.stage
+    wait_for(lambda: "started" in context.balancer.log.read_text(), "the start")
+    stage.send(context.balancer, packet(1002, SYN))
+
+
+@then("the platform target receives the flow")
+def flow_received(context):
+    mark = HEAD.pack(7, 0, *source(1002))[:16]
+    wait_for(lambda: context.stage.target_of(mark), "SYN")
+
+
+@when("the platform store falls silent and another balancer starts")
+def store_silent(context):
+    context.stage.store.silent.set()
+    context.other = context.stage.start_balancer()
+
+
+@then("the other platform balancer becomes ready")
+def other_ready(context):
+    wait_for(context.other.is_ready, "readiness of a fresh process")
+    assert "knowledge_taken" in context.other.log.read_text()
+    assert ROUTE[1] == 443
--- a/sloepond/platform/binding.py
+++ b/sloepond/platform/binding.py
@@ -21,7 +21,7 @@
         readiness=_listen(settings.readiness),
         peer=_bind(peer),
         knowledge=_listen(peer),
-        metrics=_listen(settings.metrics) if settings.metrics else None,
+        metrics=_listen_if_possible(settings.metrics),
     )
 
 
@@ -33,6 +33,14 @@
     return bound
 
 
+def _listen_if_possible(address: str) -> socket.socket | None:
+    """Listen where nothing else does: a balancer without metrics still forwards."""
+    try:
+        return _listen(address) if address else None
+    except OSError:
+        return None
+
+
 def _listen(address: str) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/sloepond/platform/settings.py
+++ b/sloepond/platform/settings.py
@@ -8,8 +8,8 @@
 
 FILE_VARIABLE = "SLOEPOND_NODE_FILE"
 DEFAULT_FILE = "/etc/sloepond/node.conf"
-METRICS_PORT_OFFSET = 1
-"""Place of the port for metrics in `port_range`; the first is for peers."""
+METRICS_PORT = 9464
+"""Port of the figures; `deploy/system.toml` names it too."""
 
 
 def read_settings(path: str = "") -> ForwardingSettings:
@@ -38,6 +38,7 @@
         edge=fields["listen.datagram_addr"],
         readiness=fields["listen.readiness"],
         store=fields["platform.addr"],
+        metrics=f"{fields['ip']}:{METRICS_PORT}",
         peer_port=first_port,
         seeds=_seeds(fields),
     )
