--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -59,8 +59,13 @@
 
 @then("the platform balancer goes on after SIGHUP and shows its metrics")
 def goes_on(context):
+    settings = context.balancer.settings
+    settings.write_text("nothing of use")
     context.balancer.signal(signal.SIGHUP)
-    wait_for(lambda: "settings_changed" in context.balancer.log.read_text(), "the log of a reload")
+    wait_for(lambda: '"unreadable"' in context.balancer.log.read_text(), "settings refused")
+    settings.write_text(context.balancer.text.replace("zone=north", "zone=south"))
+    context.balancer.signal(signal.SIGHUP)
+    wait_for(lambda: "after_restart=zone" in context.balancer.log.read_text(), "settings taken")
     assert context.balancer.is_ready()
     status, text = wait_for(lambda: context.balancer.get(context.balancer.metrics, "/metrics"), "metrics")
     assert status == 200
--- a/features/steps/forwarding_standins.py
+++ b/features/steps/forwarding_standins.py
@@ -140,11 +140,13 @@
         self.readiness = (host, readiness)
         self.metrics = (host, METRICS_PORT)
         path = pathlib.Path(folder) / f"{host}.conf"
-        path.write_text(
+        self.settings = path
+        self.text = (
             f"node=front-{host}\nzone=north\nip={host}\nlisten.datagram_addr={host}:{edge}\n"
             f"listen.readiness={host}:{readiness}\nport_range={peer},{peer + 15}\n"
             f"seeds={','.join(f'{seed}:1' for seed in seeds)}\nplatform.addr={store}\n"
         )
+        path.write_text(self.text)
         environment = {**os.environ, "SLOEPOND_NODE_FILE": str(path)}
         self.log = pathlib.Path(folder) / f"{host}.log"
         with self.log.open("wb") as log:
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -84,6 +84,17 @@
     """The time asked for by `next_deadline` has come (or later)."""
 
 
+class SettingsChanged(msgspec.Struct, frozen=True):
+    """The settings have changed.
+
+    :ivar seeds: IP addresses of balancers that may be up.
+    :ivar store: address of the store.
+    """
+
+    seeds: tuple[str, ...]
+    store: str
+
+
 class StopRequested(msgspec.Struct, frozen=True):
     """A planned stop begins."""
 
@@ -127,6 +138,7 @@
     | OpeningHeld
     | UnknownTokenMet
     | TimerFired
+    | SettingsChanged
     | StopRequested
 )
 
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -23,6 +23,7 @@
     PeerMessageReceived,
     RoutesChanged,
     RoutesRead,
+    SettingsChanged,
     StopRequested,
     StoreCallFailed,
     Subject,
@@ -155,6 +156,8 @@
             self._exchange.knowledge_received(event, now)
         elif isinstance(event, UnknownTokenMet):
             self._exchange.unknown_token(event, now)
+        elif isinstance(event, SettingsChanged):
+            self._exchange.seeds_changed(event.seeds)
         elif isinstance(event, OpeningHeld):
             self._forwarder.hold(event.segment, event.datagram, now)
         else:
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -71,6 +71,10 @@
         """Balancers known, this one included."""
         return len(self._peers) + 1
 
+    def seeds_changed(self, seeds: tuple[str, ...]) -> None:
+        """Take other seeds; peers known stay."""
+        self._peers.seeds_changed(seeds)
+
     def start(self, now: float) -> None:
         """Start heartbeats."""
         self._heartbeat_at = now
--- a/sloepond/core/forwarding/peers.py
+++ b/sloepond/core/forwarding/peers.py
@@ -49,12 +49,19 @@
     def __init__(self, ip: str, seeds: Iterable[str], random_source: random.Random) -> None:
         self._ip = ip
         self._random = random_source
-        self._seeds = tuple(seed for seed in seeds if seed != ip)
-        self._peers = {seed: Peer(seed) for seed in self._seeds}
+        self._seeds: tuple[str, ...] = ()
+        self._peers: dict[str, Peer] = {}
+        self.seeds_changed(seeds)
 
     def __len__(self) -> int:
         return len(self._peers)
 
+    def seeds_changed(self, seeds: Iterable[str]) -> None:
+        """Take other seeds; peers known stay."""
+        self._seeds = tuple(seed for seed in seeds if seed != self._ip)
+        for seed in self._seeds:
+            self._learn(seed)
+
     def heard(self, ip: str, heartbeat: Heartbeat, now: float) -> None:
         """Take a peer's heartbeat."""
         peer = self._learn(ip)
--- a/sloepond/platform/balancer.py
+++ b/sloepond/platform/balancer.py
@@ -31,12 +31,11 @@
 
     import trio
 
+    from sloepond.runtime.forwarding.reloading import SettingsReloader
     from sloepond.runtime.forwarding.service import ForwardingService
     from sloepond.runtime.forwarding.store_client import StoreClient
 
-    def reload() -> None:
-        changed = read_settings()
-        logs.write(WriteLog(LogKind.SETTINGS_CHANGED, changed.name, f"changed={changed != settings}"))
-
-    service = ForwardingService(sockets, data_path, StoreClient(settings.store, codec), node, logs, reload)
+    reloader = SettingsReloader(read_settings, settings, logs)
+    store = StoreClient(settings.store, codec)
+    service = ForwardingService(sockets, data_path, store, node, logs, reloader)
     trio.run(service.run, begun)
--- /dev/null
+++ b/sloepond/runtime/forwarding/reloading.py
@@ -0,0 +1,57 @@
+"""Settings that change while the balancer runs, with or without a signal."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from sloepond.core.forwarding.events import LogKind, SettingsChanged, WriteLog
+from sloepond.runtime.forwarding.drivers import ForwardingSettings
+from sloepond.runtime.forwarding.log_writer import LogWriter
+
+CHECK_INTERVAL_S = 5.0
+"""Time between looks at the settings when nobody signals."""
+_TAKEN_WHILE_RUNNING = ("seeds", "store", "metrics")
+
+
+class SettingsReloader:
+    """Reads the settings again and tells what can be taken without a restart.
+
+    :param read: reads the settings; may raise OSError, KeyError or ValueError.
+    :param current: the settings in use.
+    """
+
+    def __init__(
+        self, read: Callable[[], ForwardingSettings], current: ForwardingSettings, logs: LogWriter
+    ) -> None:
+        self._read = read
+        self._logs = logs
+        self.current = current
+
+    def reload(self) -> SettingsChanged | None:
+        """Return what has changed, None where nothing has or nothing can be read."""
+        try:
+            changed = self._read()
+        except (OSError, KeyError, ValueError) as error:
+            self._log("unreadable", f"kept=yes error={type(error).__name__}")
+            return None
+        if changed == self.current:
+            return None
+        self._log("taken", f"after_restart={_needs_restart(self.current, changed)}")
+        self.current = changed
+        return SettingsChanged(changed.seeds, changed.store)
+
+    def _log(self, subject: str, detail: str) -> None:
+        self._logs.write(WriteLog(LogKind.SETTINGS_CHANGED, subject, detail))
+
+
+def _needs_restart(current: ForwardingSettings, changed: ForwardingSettings) -> str:
+    """Return the names of changed fields that are taken at the next start only."""
+    names = [
+        field.name
+        for field in msgspec.structs.fields(current)
+        if field.name not in _TAKEN_WHILE_RUNNING
+        and getattr(current, field.name) != getattr(changed, field.name)
+    ]
+    return ",".join(names) or "nothing"
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Callable
 
 import trio
 
@@ -30,6 +29,7 @@
 from sloepond.runtime.forwarding.log_writer import LogWriter
 from sloepond.runtime.forwarding.metrics import metrics_page
 from sloepond.runtime.forwarding.peer_channel import PeerChannel
+from sloepond.runtime.forwarding.reloading import CHECK_INTERVAL_S, SettingsReloader
 from sloepond.runtime.forwarding.store_client import StoreClient
 
 LONGEST_SLEEP_S = 60.0
@@ -38,10 +38,7 @@
 
 
 class ForwardingService:
-    """Runs one node on sockets.
-
-    :param reload: called on SIGHUP.
-    """
+    """Runs one node on sockets."""
 
     def __init__(
         self,
@@ -50,13 +47,13 @@
         store: StoreClient,
         node: ForwardingNode,
         logs: LogWriter,
-        reload: Callable[[], None],
+        reloader: SettingsReloader,
     ) -> None:
         self._sockets = sockets
         self._store = store
         self._node = node
         self._logs = logs
-        self._reload = reload
+        self._reloader = reloader
         self._data_path = data_path
         self._data_path.report = self.dispatch
         self._peers = PeerChannel(sockets.peer, sockets.knowledge, node, self.dispatch)
@@ -84,6 +81,7 @@
             if self._sockets.metrics is not None:
                 nursery.start_soon(serve_pages, self._sockets.metrics, self._metrics_page)
             nursery.start_soon(self._fire_timers)
+            nursery.start_soon(self._look_at_settings)
         self._logs.write(WriteLog(LogKind.STOPPED, "process"))
 
     def dispatch(self, event: Event) -> None:
@@ -158,6 +156,20 @@
         else:
             self.dispatch(StopRequested())
 
+    def _reload(self) -> None:
+        store = self._reloader.current.store
+        changed = self._reloader.reload()
+        if changed is None:
+            return
+        if changed.store != store:
+            self._store.move(changed.store)
+        self.dispatch(changed)
+
+    async def _look_at_settings(self) -> None:
+        while True:
+            await trio.sleep(CHECK_INTERVAL_S)
+            self._reload()
+
     def _readiness_page(self, target: str) -> Page:
         return Page(200 if self._node.is_ready else 503)
 
--- a/sloepond/runtime/forwarding/store_client.py
+++ b/sloepond/runtime/forwarding/store_client.py
@@ -26,9 +26,13 @@
     """
 
     def __init__(self, address: str, codec: StoreCodec) -> None:
-        host, _, port = address.rpartition(":")
-        self._client = HttpClient(host, int(port))
         self._codec = codec
+        self._client = _client(address)
+
+    def move(self, address: str) -> None:
+        """Call the store at another address from now on."""
+        self._client.close()
+        self._client = _client(address)
 
     async def read(self, command: ReadSubject) -> StoreEvent:
         """Read everything of a subject."""
@@ -46,3 +50,8 @@
         if isinstance(answer, HttpFailure) or failure is not None:
             return StoreCallFailed(command.subject, failure or StoreFailure.REFUSED, True)
         return self._codec.decode_watch(command, answer.body)
+
+
+def _client(address: str) -> HttpClient:
+    host, _, port = address.rpartition(":")
+    return HttpClient(host, int(port))
