The lab runs forwarding by token; a sleeping process notices it by its first packet

Change: packets of the lab carry a token; `--policy token` runs ForwardingNode; back ends take a copied request of a stream once. `decide` notices a stall.

--- a/features/forwarding/lifecycle.feature
+++ b/features/forwarding/lifecycle.feature
@@ -15,6 +15,11 @@
     When forwarding has slept for three seconds
     Then forwarding places again after a second without the store
 
+  Scenario: Packets that are read before the timers after a sleep are not placed either
+    Given a forwarding node with routes and back ends
+    When forwarding sleeps for three seconds and reads a packet before its timers fire
+    Then forwarding forwards open flows, places none, and places again once everything was read
+
   Scenario: A node without knowledge is not ready
     Given a fresh forwarding node whose store is silent
     Then forwarding is not ready and places nothing
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -212,6 +212,17 @@
     harness.handle(TimerFired())
 
 
+@when("forwarding sleeps for three seconds and reads a packet before its timers fire")
+def slept_then_packet(context):
+    harness = context.harness
+    harness.run_to(harness.now + 2.0, TimerFired())
+    harness.commands.clear()
+    harness.now += 3.0
+    decision = harness.node.decide(segment(STREAM, opening=True), harness.now)
+    assert decision.refusal is Refusal.STALE_KNOWLEDGE
+    harness.handle(TimerFired())
+
+
 @then("forwarding forwards open flows, places none, and places again once everything was read")
 def places_after_reads(context):
     harness = context.harness
--- a/sloepond/cli/lab.py
+++ b/sloepond/cli/lab.py
@@ -66,7 +66,7 @@
 
     :param scenario: name of a scenario, or the path of a TOML file.
     :param seed: the same seed gives the same run.
-    :param policy: placement policy, `stateless` or `omniscient`; the default of the core if empty.
+    :param policy: placement policy, `token`, `stateless` or `omniscient`; the default of the core if empty.
     :param json: print exactly one JSON object with the measures.
     :param share: run this share of the flows, over the same time.
     :param result: file to write the whole result to, for `plot`.
--- a/sloepond/core/forwarding/backends.py
+++ b/sloepond/core/forwarding/backends.py
@@ -174,6 +174,11 @@
     def __iter__(self) -> Iterator[ForwardingBackend]:
         return iter(self._by_name.values())
 
+    def places_changed(self, places: PlaceRules) -> None:
+        """Take other rules; they bind new flows at once."""
+        self._places = places
+        self._candidates.clear()
+
     def by_token(self, token: int) -> ForwardingBackend | None:
         """Return the back end whose flows carry the token."""
         return self._by_token.get(token)
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -139,12 +139,14 @@
 
     def decide(self, segment: Segment, now: float) -> Decision:
         """Return what becomes of a caller's packet."""
+        if now - self._deadline > STALL_S:
+            self._notice_stall(now)
         return self._forwarder.decide(segment, now)
 
     def handle(self, event: Event, now: float) -> list[Command]:
         """Take one event; `now` never goes back."""
         if now - self._deadline > STALL_S:
-            self._notice_stall(now - self._deadline)
+            self._notice_stall(now)
         self._now = now
         if isinstance(event, TimerFired):
             self._on_time()
@@ -274,11 +276,12 @@
             self._forwarder.admission.forget_admitted(self._now)
             self._forwarder.admission.balancers = self._exchange.balancers
 
-    def _notice_stall(self, late_s: float) -> None:
+    def _notice_stall(self, now: float) -> None:
         """Place no flow until what is known has been confirmed, for a while at most."""
+        late_s = now - self._deadline
+        self._deadline = now
         self.counters.stalls_detected += 1
         self._log(LogKind.STALLED, "process", f"late_s={late_s:.2f}")
-        now = self._deadline + late_s
         self._forwarder.may_place = False
         self._trust_again_at = now + STALL_TRUST_S
         self._stalled_at = now
--- a/sloepond/core/packets.py
+++ b/sloepond/core/packets.py
@@ -52,6 +52,7 @@
         the default of the service.
     :ivar timeout_ms: milliseconds the caller still waits; 0 takes the limit of
         the service.
+    :ivar token: routing token last received on the flow, 0 for none (32 bits).
     """
 
     kind: CallerPacketKind
@@ -61,6 +62,7 @@
     repeatable: bool | None = None
     timeout_ms: int = 0
     payload: bytes = b""
+    token: int = 0
 
 
 class CallerReplyKind(enum.IntEnum):
@@ -108,6 +110,7 @@
 
     :ivar part: index from 0 of this part of the answer, of `parts` in all.
     :ivar retry_after_ms: when to come back, for REFUSED, UNKNOWN and FLOW_LOST.
+    :ivar token: routing token of the flow's back end, 0 for none.
     """
 
     kind: CallerReplyKind
@@ -119,6 +122,7 @@
     reason: Reason = Reason.NONE
     retry_after_ms: int = 0
     payload: bytes = b""
+    token: int = 0
 
 
 class BackendPacket(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -129,6 +133,7 @@
 
     :ivar timeout_ms: milliseconds left; a back end must not start the request
         after that.
+    :ivar token: routing token of the back end, 0 for none; its replies carry it.
     """
 
     kind: CallerPacketKind
@@ -137,6 +142,7 @@
     attempt: int = 0
     timeout_ms: int = 0
     payload: bytes = b""
+    token: int = 0
 
 
 class BackendReplyKind(enum.IntEnum):
@@ -176,3 +182,4 @@
     parts: int = 1
     payload: bytes = b""
     load: LoadReport | None = None
+    token: int = 0
--- a/sloepond/lab/baseline.py
+++ b/sloepond/lab/baseline.py
@@ -91,7 +91,7 @@
             self.counters.caller_packets += 1
             return self._caller_packet(event.packet)
         if isinstance(event, BackendReplyReceived):
-            return [SendToCaller(_caller_reply(event.reply))]
+            return [SendToCaller(caller_reply(event.reply))]
         if isinstance(event, TimerFired):
             return self._on_time(now)
         if isinstance(event, ConfigurationRead):
@@ -116,12 +116,12 @@
     def _caller_packet(self, packet: CallerPacket) -> list[Command]:
         address = self._cache.get(packet.flow) or self._choose(packet.flow)
         if address is None:
-            return [SendToCaller(_refusal(packet))]
+            return [SendToCaller(refusal_of(packet))]
         if packet.kind is CallerPacketKind.CLOSE:
             self._cache.pop(packet.flow, None)
         else:
             self._cache[packet.flow] = address
-        return [SendToBackend(address, _backend_packet(packet))]
+        return [SendToBackend(address, backend_packet(packet))]
 
     def _choose(self, flow: FlowKey) -> str | None:
         service = self.configuration.in_force.services_by_address.get(flow.service_address)
@@ -130,7 +130,8 @@
         return hash_choice(flow_hash(flow), service.placeable).address
 
 
-def _backend_packet(packet: CallerPacket) -> BackendPacket:
+def backend_packet(packet: CallerPacket, token: int = 0) -> BackendPacket:
+    """Return a caller's packet as it is sent to a back end."""
     return BackendPacket(
         kind=packet.kind,
         flow=packet.flow,
@@ -138,10 +139,12 @@
         attempt=packet.attempt,
         timeout_ms=packet.timeout_ms,
         payload=packet.payload,
+        token=token,
     )
 
 
-def _caller_reply(reply: BackendReply) -> CallerReply:
+def caller_reply(reply: BackendReply) -> CallerReply:
+    """Return a back end's reply as it is sent to the caller."""
     return CallerReply(
         kind=_REPLIES[reply.kind],
         flow=reply.flow,
@@ -150,10 +153,12 @@
         part=reply.part,
         parts=reply.parts,
         payload=reply.payload,
+        token=reply.token,
     )
 
 
-def _refusal(packet: CallerPacket) -> CallerReply:
+def refusal_of(packet: CallerPacket) -> CallerReply:
+    """Return what a caller is told whose packet goes nowhere."""
     return CallerReply(
         kind=CallerReplyKind.REFUSED,
         flow=packet.flow,
--- a/sloepond/lab/nodes.py
+++ b/sloepond/lab/nodes.py
@@ -1,4 +1,4 @@
-"""Which nodes a run uses: the core's, the stateless baseline or the omniscient one."""
+"""Which nodes a run uses: the core's, by routing token, the stateless baseline or the omniscient one."""
 
 from __future__ import annotations
 
@@ -13,11 +13,13 @@
 from sloepond.core.settings import NodeSettings
 from sloepond.lab.baseline import StatelessNode
 from sloepond.lab.hosting import LabNode, NodeFactory
+from sloepond.lab.token_node import TokenNode
 from sloepond.lab.world import World
 from sloepond.resources.compiled import CompiledBackend
 
 STATELESS = "stateless"
 OMNISCIENT = "omniscient"
+TOKEN = "token"
 
 
 class ChosenNodes(msgspec.Struct, frozen=True):
@@ -25,11 +27,13 @@
 
     :ivar settings_policy: policy put into the settings, empty for the default.
     :ivar connect: gives the nodes what they know of the world.
+    :ivar ordered_flows: whether flows are streams of bytes between their two ends.
     """
 
     factory: NodeFactory
     settings_policy: str
     connect: Callable[[World], None]
+    ordered_flows: bool = False
 
 
 class OmniscientPolicy:
@@ -65,6 +69,8 @@
     """
     if policy == STATELESS:
         return ChosenNodes(StatelessNode, "", _connect_nothing)
+    if policy == TOKEN:
+        return ChosenNodes(TokenNode, "", _connect_nothing, ordered_flows=True)
     if policy == OMNISCIENT:
         shared = OmniscientPolicy()
         return ChosenNodes(_omniscient_factory(shared), "", shared.connect)
--- a/sloepond/lab/runner.py
+++ b/sloepond/lab/runner.py
@@ -31,8 +31,8 @@
 ) -> LabResult:
     """Run a scenario to its end.
 
-    :param policy: name of a placement policy, `stateless`, `omniscient` or empty
-        for the default of the settings.
+    :param policy: name of a placement policy, `token`, `stateless`, `omniscient` or
+        empty for the default of the settings.
     :param factory: makes the nodes; None takes what `policy` asks for.
     :raises ValueError: where the policy is not known.
     """
@@ -54,6 +54,8 @@
         self.policy = policy
         chosen = factory_for(policy)
         self.world = World(scenario, seed, factory or chosen.factory, chosen.settings_policy)
+        if chosen.ordered_flows:
+            self.world.order_flows()
         chosen.connect(self.world)
         self._sampler = Sampler(self.world)
         timeline = (*scenario.faults, *draw_faults(scenario, self.world.streams.stream("faults")))
--- a/sloepond/lab/world.py
+++ b/sloepond/lab/world.py
@@ -92,6 +92,12 @@
         self.backends[name] = host
         self._backends_by_address[host.address] = host
 
+    def order_flows(self) -> None:
+        """Make every flow a stream of bytes, in which no request comes twice."""
+        for host in self.backends.values():
+            host.settings = msgspec.structs.replace(host.settings, ordered_flows=True)
+            host.start()
+
     def start(self) -> None:
         """Publish the first generation, start all balancers and announce the callers."""
         self._publish_compiled()
--- a/sloepond/standins/backend_model.py
+++ b/sloepond/standins/backend_model.py
@@ -52,6 +52,8 @@
     :ivar cold_factor: how many times slower requests run at the start.
     :ivar load_lag_s: age a reported load may have, in seconds.
     :ivar load_factor: multiplies the reported load; 0 claims to be idle.
+    :ivar ordered_flows: whether a flow is a stream of bytes, in which a copy of a
+        request is no second request: it is answered again, not run again.
     """
 
     slots: int = 2
@@ -65,13 +67,19 @@
     cold_factor: float = 4.0
     load_lag_s: float = 0.0
     load_factor: float = 1.0
+    ordered_flows: bool = False
 
 
 class _HeldFlow(msgspec.Struct):
-    """A flow, the address it was last heard from and the requests it started."""
+    """A flow, the address and token it was last heard with and the requests it started.
+
+    :ivar accepted: requests taken, and their answers once there are any.
+    """
 
     address: str
+    token: int = 0
     started: set[int] = msgspec.field(default_factory=set)
+    accepted: dict[int, list[BackendReply]] = msgspec.field(default_factory=dict)
 
 
 class _WaitingRequest(msgspec.Struct, frozen=True):
@@ -160,7 +168,9 @@
     def _handle_held(
         self, packet: BackendPacket, source: str, now: float, outputs: list[BackendOutput]
     ) -> None:
-        self._flows[packet.flow].address = source
+        held = self._flows[packet.flow]
+        held.address = source
+        held.token = packet.token
         if packet.kind is CallerPacketKind.REQUEST:
             self._accept(packet, source, now, outputs)
         elif packet.kind is CallerPacketKind.CANCEL:
@@ -187,15 +197,20 @@
             return
         else:
             self.counters.opened += 1
-            self._flows[packet.flow] = _HeldFlow(address=source)
+            self._flows[packet.flow] = _HeldFlow(source, packet.token)
         self._reply(BackendReplyKind.OPENED, packet, source, now, outputs, self._identity_payload)
 
     def _accept(self, packet: BackendPacket, source: str, now: float, outputs: list[BackendOutput]) -> None:
+        held = self._flows[packet.flow]
+        if self.settings.ordered_flows and packet.request_id in held.accepted:
+            outputs.extend(BackendOutput(source, reply) for reply in held.accepted[packet.request_id])
+            return
         has_slot = len(self._running) < self.settings.slots
         if not has_slot and len(self._waiting) >= self.settings.queue:
             self.counters.shed += 1
             self._reply(BackendReplyKind.REFUSED, packet, source, now, outputs)
             return
+        held.accepted[packet.request_id] = []
         deadline = now + packet.timeout_ms / 1000 if packet.timeout_ms else _NEVER
         self._waiting.append(_WaitingRequest(packet, source, deadline))
         self._start_waiting(now, outputs)
@@ -259,11 +274,18 @@
                 parts=len(pieces),
                 payload=piece,
                 load=load,
+                token=packet.token,
             )
             outputs.append(BackendOutput(request.source, reply))
+            self._keep_answer(reply)
         if packet.payload == FEED_PAYLOAD and packet.flow in self._flows:
             self._feeds.subscribe(packet.flow, packet.request_id, now + self.settings.push_interval_s)
 
+    def _keep_answer(self, reply: BackendReply) -> None:
+        held = self._flows.get(reply.flow)
+        if self.settings.ordered_flows and held is not None:
+            held.accepted.setdefault(reply.request_id, []).append(reply)
+
     def _push_due(self, now: float, outputs: list[BackendOutput]) -> None:
         for item in self._feeds.take_due(now, self.settings.push_interval_s):
             self.counters.pushes += 1
@@ -274,6 +296,7 @@
                 request_id=item.request_id,
                 payload=encode_content(content),
                 load=self._load_report(now),
+                token=self._flows[item.flow].token,
             )
             outputs.append(BackendOutput(self._flows[item.flow].address, reply))
 
@@ -303,6 +326,7 @@
             attempt=packet.attempt,
             payload=payload,
             load=self._load_report(now),
+            token=packet.token,
         )
         outputs.append(BackendOutput(destination, reply))
 
--- a/sloepond/standins/caller_model.py
+++ b/sloepond/standins/caller_model.py
@@ -62,6 +62,7 @@
         self._next_plan = 0
         self._next_request_at = _NEVER
         self._close_at = _NEVER
+        self._token = 0
 
     @property
     def is_finished(self) -> bool:
@@ -80,7 +81,7 @@
             return []
         state = FlowState.CLOSED if self.record.state is FlowState.ESTABLISHED else FlowState.UNOPENED
         self._finish(state, now)
-        return [CallerPacket(kind=CallerPacketKind.CLOSE, flow=self._flow)]
+        return [CallerPacket(kind=CallerPacketKind.CLOSE, flow=self._flow, token=self._token)]
 
     def next_deadline(self) -> float:
         """Return when `on_time` is next needed, infinity if never."""
@@ -112,15 +113,21 @@
         self._send_due(now, packets)
         if self._liveness.is_keepalive_due(now):
             self._liveness.keepalive_sent(now)
-            packets.append(CallerPacket(kind=CallerPacketKind.KEEPALIVE, flow=self._flow))
+            packets.append(CallerPacket(kind=CallerPacketKind.KEEPALIVE, flow=self._flow, token=self._token))
         if now >= self._close_at and not self._pending:
             packets += self.close(now)
         return packets
 
     def handle(self, reply: CallerReply, now: float) -> list[CallerPacket]:
-        """Take one reply of this flow and return the packets it leads to."""
+        """Take one reply of this flow and return the packets it leads to.
+
+        A flow is open at the back end whose reply came first; what another one that
+        was given a copy of the opening packet says is dropped.
+        """
         if reply.flow != self._flow:
             return []
+        if reply.token and self._token and reply.token != self._token:
+            return []
         self._note_contradiction(reply)
         if self.is_finished:
             return []
@@ -146,6 +153,7 @@
         if self.record.state is not FlowState.OPENING:
             return
         self.record.state = FlowState.ESTABLISHED
+        self._token = reply.token
         self.record.opened_at = now
         self._liveness.flow_established(now)
         self._schedule_next(now)
@@ -175,7 +183,7 @@
         cancel_at = _NEVER if plan.cancel_after_s is None else now + plan.cancel_after_s
         pending = PendingRequest(record, first_transmission(now, self._settings), cancel_at)
         self._pending[record.request_id] = pending
-        return pending.packet(self._flow, now)
+        return pending.packet(self._flow, now, self._token)
 
     def _on_time_request(self, request_id: int, now: float, packets: list[CallerPacket]) -> None:
         pending = self._pending.get(request_id)
@@ -189,7 +197,7 @@
         if now >= pending.timing.due:
             pending.timing.next_attempt(now, self._settings)
             pending.record.attempts += 1
-            packets.append(pending.packet(self._flow, now))
+            packets.append(pending.packet(self._flow, now, self._token))
 
     def _give_up(self, pending: PendingRequest, now: float) -> None:
         if pending.record.reason is not Reason.NONE:
--- a/sloepond/standins/pending_request.py
+++ b/sloepond/standins/pending_request.py
@@ -55,8 +55,11 @@
         self.cancelled = True
         self.timing.due = now
 
-    def packet(self, flow: FlowKey, now: float) -> CallerPacket:
-        """Return the packet of the present attempt."""
+    def packet(self, flow: FlowKey, now: float, token: int = 0) -> CallerPacket:
+        """Return the packet of the present attempt.
+
+        :param token: routing token of the flow, 0 for none.
+        """
         plan = self.record.plan
         return CallerPacket(
             kind=CallerPacketKind.CANCEL if self.cancelled else CallerPacketKind.REQUEST,
@@ -66,6 +69,7 @@
             repeatable=plan.repeatable,
             timeout_ms=max(1, int((self.timing.give_up_at - now) * 1000)),
             payload=plan.payload,
+            token=token,
         )
 
     def add_part(self, reply: CallerReply) -> bytes | None:
--- a/sloepond/wire/edge.py
+++ b/sloepond/wire/edge.py
@@ -30,6 +30,7 @@
 
 MAXIMUM_TIMEOUT_MS = 86_400_000
 MAXIMUM_PARTS = 65_535
+MAXIMUM_TOKEN = 2**32 - 1
 MAXIMUM_LOAD = 2**31 - 1
 
 EdgePacket = CallerPacket | CallerReply | BackendPacket | BackendReply
@@ -115,6 +116,7 @@
         0 <= packet.request_id <= MAXIMUM_REQUEST_ID
         and 0 <= packet.attempt <= MAXIMUM_ATTEMPT
         and 0 <= packet.timeout_ms <= MAXIMUM_TIMEOUT_MS
+        and 0 <= packet.token <= MAXIMUM_TOKEN
         and _is_flow_in_range(packet.flow)
     )
 
@@ -124,6 +126,7 @@
         0 <= reply.request_id <= MAXIMUM_REQUEST_ID
         and 0 <= reply.attempt <= MAXIMUM_ATTEMPT
         and 0 <= reply.part < reply.parts <= MAXIMUM_PARTS
+        and 0 <= reply.token <= MAXIMUM_TOKEN
         and _is_flow_in_range(reply.flow)
     )
 
