--- a/features/lab/runs.feature
+++ b/features/lab/runs.feature
@@ -33,3 +33,18 @@
   Scenario: The lab command refuses a policy that does not exist
     When the command lab run steady --share 0.0005 --policy no-such-policy is given
     Then the lab command exits with 2 and names no-such-policy
+
+  Scenario Outline: Forwarding by token keeps its promises in the lab
+    When the command lab run <scenario> --json --share 0.02 --policy token is given
+    Then the lab command exits with 0 and prints one object with every measure
+
+    Examples:
+      | scenario                  |
+      | rolling-replace-balancers |
+      | balancer-crash            |
+      | backend-drain             |
+      | uneven-updates            |
+      | pause-and-wake            |
+      | partition-halls           |
+      | rough-network             |
+      | everything                |
