--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from behave import given, then, when
+from hypothesis import example, settings
 from hypothesis import given as for_all
-from hypothesis import settings
 from hypothesis import strategies as st
 
 from sloepond.core import messages, packets
@@ -328,8 +328,11 @@
 def step_decode_mutated(context):
     context.decoded = []
 
+    wide = packets.CallerPacket(packets.CallerPacketKind.OPEN, packets.FlowKey("a:1", "b:1", 1), 2**63)
+
     @settings(PROPERTY, max_examples=250)
     @for_all(edge_packets | peer_messages | wide_packets, mutations, st.integers(0, 1))
+    @example(wide, [], 1)
     def decode(packet, changes, not_bundled):
         datagram = bytearray(codec.encode_bundle([codec.encode_message(packet)])[not_bundled:])
         for position, value in changes:
--- a/sloepond/core/forwarding/follower.py
+++ b/sloepond/core/forwarding/follower.py
@@ -10,10 +10,10 @@
 
 from sloepond.core.forwarding.events import ReadSubject, StoreFailure, Subject, WatchSubject
 
-WATCH_WAIT_S = 10.0
+WATCH_WAIT_S = 25.0
 """How long one watch is held.  An answer that is lost is noticed after this at the
 latest; mostly a peer's heartbeat tells sooner that something was missed."""
-GATHER_S = {Subject.ROUTES: 0.2, Subject.BACKENDS: 0.6}
+GATHER_S = {Subject.ROUTES: 0.2, Subject.BACKENDS: 1.0}
 """Least time from the start of one watch to that of the next, so that changes in quick
 succession are answered together: each call is priced."""
 RETRY_S = (0.0, 0.05, 0.15, 0.3, 0.5)
--- a/sloepond/core/forwarding/selection.py
+++ b/sloepond/core/forwarding/selection.py
@@ -13,8 +13,9 @@
 """Share of its slots a back end is taken to have while it is slow from its start."""
 FLOW_WEIGHT = 0.15
 """Load that an open flow without a request counts as, in requests."""
-OTHER_ZONE_LOAD = 0.02
-"""Load added for standing in another zone, so that it decides only between equals."""
+OTHER_ZONE_LOAD = 0.5
+"""Load for each slot added for standing in another zone: bytes between zones are priced,
+but a back end near by is not loaded much more for it."""
 SILENCE_S = 2.0
 """How long a back end that left an opening packet unanswered is passed over."""
 
