--- /dev/null
+++ b/benchmarks/forwarding.py
@@ -0,0 +1,152 @@
+"""What a start and a packet cost on the users' platform, beside the least they could cost.
+
+Run with the interpreter of the development environment:
+
+    python benchmarks/forwarding.py
+
+Figures are processor times of this machine; compare lines of one run only.
+"""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import random
+import resource
+import socket
+import subprocess
+import sys
+import time
+
+from sloepond.core.forwarding.backends import BackendRecord, BackendState
+from sloepond.core.forwarding.events import BackendsRead, RoutesRead
+from sloepond.core.forwarding.node import ForwardingNode
+from sloepond.core.forwarding.routes import Route, RouteConfiguration, Share
+from sloepond.platform.packet_codec import FLAG_ACK, FLAG_SYN, HEAD, EchoPacketCodec
+from sloepond.runtime.clock import monotonic_seconds
+from sloepond.runtime.forwarding.data_path import DataPath
+from sloepond.runtime.forwarding.log_writer import LogWriter
+
+STARTS = 8
+BATCH = 64
+ROUNDS = 400
+PAYLOAD = bytes(200)
+ROUTE_KEY = 0xC6120001 << 16 | 443
+PROGRAMS = (
+    ("interpreter alone", "pass"),
+    ("import trio", "import trio"),
+    ("up to the first packet", "import sloepond.platform.balancer"),
+    ("whole service", "import sloepond.platform.balancer, sloepond.runtime.forwarding.service"),
+)
+
+
+def main() -> None:
+    """Print both tables."""
+    print("processor time of a start, least and median of", STARTS, "in ms")
+    for name, program in PROGRAMS:
+        times = sorted(start_time(program) for _ in range(STARTS))
+        print(f"  {name:24} {times[0] * 1000:7.1f} {times[STARTS // 2] * 1000:7.1f}")
+    print("packets a second of processor time, batches of", BATCH)
+    bare = packets_per_second(BareLoop())
+    for name, loop in (("bare batch loop", None), ("open flows", False), ("new flows", True)):
+        rate = bare if loop is None else packets_per_second(ForwardingLoop(loop))
+        print(f"  {name:24} {rate:9.0f}  {rate / bare:5.2f}")
+
+
+def start_time(program: str) -> float:
+    """Return the seconds of processor time of a process that runs a program."""
+    before = resource.getrusage(resource.RUSAGE_CHILDREN)
+    paths = os.pathsep.join([str(pathlib.Path(__file__).parents[1]), *filter(None, sys.path)])
+    subprocess.run([sys.executable, "-S", "-c", program], check=True, env={"PYTHONPATH": paths})
+    after = resource.getrusage(resource.RUSAGE_CHILDREN)
+    return after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
+
+
+class BareLoop:
+    """Reads a batch and sends each datagram on."""
+
+    def __init__(self) -> None:
+        self.edge, self.sender, self.sink = (bound_socket() for _ in range(3))
+        self.to_edge = self.edge.getsockname()
+        self.to_sink = self.sink.getsockname()
+        self.datagrams = [self.datagram(number) for number in range(BATCH)]
+
+    def datagram(self, number: int) -> bytes:
+        """Return one client's packet."""
+        return client_packet(number, FLAG_ACK, PAYLOAD, 1)
+
+    def handle_batch(self) -> None:
+        """Handle all datagrams that are there."""
+        for _ in range(BATCH):
+            self.edge.sendto(self.edge.recv(2048), self.to_sink)
+
+
+class ForwardingLoop(BareLoop):
+    """The data path before one back end.
+
+    :param opening: whether every packet opens a flow.
+    """
+
+    def __init__(self, opening: bool) -> None:
+        self.opening = opening
+        super().__init__()
+        node = ForwardingNode("north", random.Random(1))
+        now = monotonic_seconds()
+        node.start(now)
+        host, port = self.to_sink
+        records = (BackendRecord("i-1", 1, "a", host, port, "north", 10**6, BackendState.READY),)
+        route = Route("r", ROUTE_KEY, (Share("a", 1.0),))
+        node.handle(RoutesRead(1, RouteConfiguration(1, (route,))), now)
+        node.handle(BackendsRead(1, records), now)
+        logs = LogWriter(node.counters, os.open(os.devnull, os.O_WRONLY))
+        self.path = DataPath(self.edge, EchoPacketCodec(1), node, logs)
+
+    def datagram(self, number: int) -> bytes:
+        """Return one client's packet."""
+        if self.opening:
+            return client_packet(number, FLAG_SYN, b"", 0)
+        return super().datagram(number)
+
+    def handle_batch(self) -> None:
+        """Handle all datagrams that are there."""
+        self.path.drain(monotonic_seconds())
+
+
+def client_packet(number: int, flags: int, data: bytes, token: int) -> bytes:
+    """Return a client's packet."""
+    return HEAD.pack(1, 1, 1, 1000 + number, 443, 0xC6120001, 1, len(data), flags, 0, token) + data
+
+
+def bound_socket() -> socket.socket:
+    """Return a UDP socket on loopback."""
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.bind(("127.0.0.1", 0))
+    bound.setblocking(False)
+    return bound
+
+
+def packets_per_second(loop: BareLoop) -> float:
+    """Return the packets a loop handles in a second of processor time."""
+    used = 0.0
+    for _ in range(ROUNDS):
+        for datagram in loop.datagrams:
+            loop.sender.sendto(datagram, loop.to_edge)
+        began = time.process_time()
+        loop.handle_batch()
+        used += time.process_time() - began
+        while drained(loop.sink):
+            continue
+    return BATCH * ROUNDS / used
+
+
+def drained(sink: socket.socket) -> bool:
+    """Read one datagram; return whether there was one."""
+    try:
+        sink.recv(4096)
+    except BlockingIOError:
+        return False
+    return True
+
+
+if __name__ == "__main__":
+    main()
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -40,6 +40,9 @@
     stage.send(balancer, packet(1000, ACK, ack=5, echo=context.token, data=b"first request"))
     again, data = wait_for(lambda: stage.target_of(b"first request"), "data")
     assert again is target
+    request = b"GET / HTTP/1.1\r\nHost: a\r\nRequest-Id: 5f89d1d1a7a5f143\r\n\r\n"
+    stage.send(balancer, packet(1000, ACK, ack=5, echo=context.token, data=request))
+    wait_for(lambda: '"subject":"5f89d1d1a7a5f143"' in balancer.log.read_text(), "the request's line")
     assert data[:8] == opening[:8]
 
 
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -197,6 +197,7 @@
     BACKEND_CHANGED = "backend_changed"
     FLOW_PLACED = "flow_placed"
     FLOW_WAITS = "flow_waits"
+    REQUEST_SEEN = "request_seen"
     PACKET_REFUSED = "packet_refused"
     TOKEN_LOOKED_UP = "token_looked_up"
     TOKEN_FOUND = "token_found"
--- a/sloepond/platform/packet_codec.py
+++ b/sloepond/platform/packet_codec.py
@@ -12,6 +12,9 @@
 HEAD = struct.Struct(">IIIHHIIHBBI")
 """seq, ack, src, sport, dport, dst, sum, len, flags, pad, echo."""
 ECHO_OFFSET = 28
+REQUEST_ID_HEADER = b"Request-Id: "
+LONGEST_REQUEST_ID = 128
+"""Bytes."""
 FLAG_SYN = 16
 FLAG_ACK = 8
 FLAG_FIN = 2
@@ -60,6 +63,15 @@
             0,
         )
 
+    def request_id(self, datagram: bytes) -> str:
+        """Return the value of the request's id header, empty where there is none."""
+        start = datagram.find(REQUEST_ID_HEADER, HEAD.size)
+        if start < 0:
+            return ""
+        start += len(REQUEST_ID_HEADER)
+        end = datagram.find(b"\r", start, start + LONGEST_REQUEST_ID)
+        return datagram[start:end].decode("ascii", "replace") if end >= 0 else ""
+
     def caller_endpoint(self, segment: Segment) -> tuple[str, int]:
         """Return where packets for the client are sent."""
         return socket.inet_ntoa(segment.source.to_bytes(4, "big")), self._reply_port
--- a/sloepond/runtime/forwarding/data_path.py
+++ b/sloepond/runtime/forwarding/data_path.py
@@ -75,6 +75,10 @@
         self._send(self._codec.encode(datagram, backend), backend.endpoint)
         if segment.is_opening:
             self._logs.flow_placed(segment, backend, self._node)
+        elif segment.length:
+            request_id = self._codec.request_id(datagram)
+            if request_id:
+                self._logs.request_seen(request_id, segment, backend)
 
     def _refuse(self, segment: Segment, decision: Decision, datagram: bytes) -> None:
         assert decision.refusal is not None
--- a/sloepond/runtime/forwarding/drivers.py
+++ b/sloepond/runtime/forwarding/drivers.py
@@ -68,6 +68,13 @@
     def encode_reset(self, segment: Segment) -> bytes:
         """Return a packet that tells the caller that its flow was not opened."""
 
+    @abc.abstractmethod
+    def request_id(self, datagram: bytes) -> str:
+        """Return the id of the request that begins in a packet, empty where none does.
+
+        For log lines only: nothing is decided by it.
+        """
+
     @abc.abstractmethod
     def caller_endpoint(self, segment: Segment) -> tuple[str, int]:
         """Return where packets for the caller are sent."""
--- a/sloepond/runtime/forwarding/log_writer.py
+++ b/sloepond/runtime/forwarding/log_writer.py
@@ -71,6 +71,15 @@
             )
             self._put(LogKind.FLOW_PLACED, flow_name(segment), detail)
 
+    def request_seen(self, request_id: str, segment: Segment, backend: ForwardingBackend) -> None:
+        """Write a line that leads from a request's id to its flow and back end."""
+        if self._may_write():
+            detail = (
+                f"flow={flow_name(segment)} backend={backend.name} state={backend.state.name.lower()} "
+                f"in_flight={backend.in_flight}"
+            )
+            self._put(LogKind.REQUEST_SEEN, request_id, detail)
+
     def packet_waits(self, segment: Segment, node: KnowledgeVersions) -> None:
         """Write a line about a new flow that waits for room."""
         if self._may_write():
