--- a/features/steps/project_document_steps.py
+++ b/features/steps/project_document_steps.py
@@ -12,6 +12,7 @@
 import msgspec
 from api_fakes import FakeNode, FakeState, configuration, default_resources, silent_logger
 from behave import then
+from forwarding_model import Harness
 from prometheus_client.parser import text_string_to_metric_families
 
 from sloepond.api.application import create_app
@@ -25,12 +26,14 @@
 from sloepond.resources.documents import parse_text
 from sloepond.resources.validation import validate_documents
 from sloepond.runtime.exit_code import ExitCode
+from sloepond.runtime.forwarding.metrics import metrics_page
 from sloepond.runtime.settings import ApiSettings, BalancerSettings
 from sloepond.runtime.settings_file import check_settings
 from sloepond.wire.describe import describe
 
 ROOT = Path(__file__).resolve().parents[2]
 DOCUMENTS = sorted([*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")])
+FORWARDING_PAGE = "OPERATIONS.md"
 OPERATING = ROOT / "docs" / "OPERATING.md"
 
 FENCE = re.compile(r"^```(\w*)\n(.*?)^```", re.MULTILINE | re.DOTALL)
@@ -206,17 +209,34 @@
 @then("each metric in the project's documents is one that a balancer exports")
 def metrics_exist(context):
     state = FakeState(FakeNode(configuration(1, default_resources())))
-    families = text_string_to_metric_families(Metrics(state).render().decode())
-    exported = {sample.name for family in families for sample in family.samples}
-    named = {
+    exported = sample_names(Metrics(state).render().decode())
+    forwarding = sample_names(metrics_page(configured_node(), 100.0).body.decode())
+    of_other_pages = metrics_named(page for page in DOCUMENTS if page.name != FORWARDING_PAGE)
+    of_forwarding = metrics_named(page for page in DOCUMENTS if page.name == FORWARDING_PAGE)
+    assert len(of_other_pages) > 20, of_other_pages
+    assert of_other_pages <= exported, of_other_pages - exported
+    assert of_forwarding and of_forwarding <= forwarding, of_forwarding - forwarding
+
+
+def sample_names(text):
+    """Return the names of the samples in a page of metrics."""
+    return {sample.name for family in text_string_to_metric_families(text) for sample in family.samples}
+
+
+def configured_node():
+    """Return a forwarding node that knows routes and back ends."""
+    return Harness().configure().node
+
+
+def metrics_named(pages):
+    """Return the metrics that pages name in code."""
+    return {
         metric
-        for document in DOCUMENTS
-        for line in code_lines(document)
+        for page in pages
+        for line in code_lines(page)
         if not line.startswith("sloepond ")
         for metric in METRIC.findall(line)
     }
-    assert len(named) > 20, named
-    assert named <= exported, named - exported
 
 
 @then("each dotted name in the project's glossary is found in the code")
