--- /dev/null
+++ b/features/steps/runtime_timing_steps.py
@@ -0,0 +1,95 @@
+"""Steps on deadlines and on the bench of the data path."""
+
+from __future__ import annotations
+
+import trio
+import trio.testing
+from behave import then, when
+
+from sloepond.core.context import NEVER
+from sloepond.lab.bench.bare_loop import BareLoop
+from sloepond.lab.bench.memory import measure_memory
+from sloepond.runtime.deadline_task import DeadlineTask
+
+
+def run_deadline_task(deadlines, is_idle, action):
+    """Run a task on simulated time; return when it fired."""
+    fired_at = []
+
+    async def main():
+        started = trio.current_time()
+
+        def clock():
+            return trio.current_time() - started
+
+        def fire():
+            fired_at.append(round(clock(), 6))
+            deadlines.pop(0)
+
+        task = DeadlineTask(clock, lambda: deadlines[0], fire, lambda: is_idle)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(task.run)
+            await trio.sleep(3)
+            action(task)
+            await trio.sleep(100)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return fired_at
+
+
+@when("a runtime deadline moves forward while it is waited for")
+def step_deadline(context):
+    deadlines = [50.0, NEVER]
+
+    def move_forward(task):
+        deadlines[0] = 7.0
+        task.adjust()
+
+    context.fired_at = run_deadline_task(deadlines, False, move_forward)
+
+
+@then("the runtime deadline fired at the earlier time")
+def step_deadline_fired(context):
+    assert context.fired_at == [7.0], context.fired_at
+
+
+@when("a runtime deadline is waited for by an idle and by a busy balancer")
+def step_idle_deadline(context):
+    def do_nothing(task):
+        pass
+
+    context.fired_at = [run_deadline_task([5.011, NEVER], idle, do_nothing) for idle in (True, False)]
+
+
+@then("only the idle runtime deadline was rounded up")
+def step_idle_rounded(context):
+    assert context.fired_at == [[5.05], [5.011]], context.fired_at
+
+
+@when("the runtime bench opens {count:d} flows")
+def step_bench_memory(context, count):
+    context.figure = measure_memory(count)
+
+
+@then("the runtime bench reports {count:d} flows and their memory")
+def step_bench_memory_figure(context, count):
+    assert context.figure.flows == count, context.figure
+    assert context.figure.resident_after >= context.figure.resident_before > 0
+
+
+@when("the runtime bench runs {count:d} batches of the bare loop")
+def step_bench_bare(context, count):
+    async def run():
+        context.bare_loop = BareLoop()
+        for _ in range(count):
+            await context.bare_loop.run_batch()
+        context.bare_loop.close()
+
+    trio.run(run)
+
+
+@then("the runtime bench counted {count:d} packets and their processor time")
+def step_bench_bare_counted(context, count):
+    assert context.bare_loop.packets == count
+    assert context.bare_loop.stopwatch.seconds > 0
