A fresh process begins with a stale list; a page that fails is asked for again

A peer's heartbeat made others read the whole list although their own watch told the change within 1 s; fresh processes fetched all that is known from three peers at once (506 KB a second at the busiest).

Change: the first list may be stale (not counted in the rate, a tenth of the price), is followed by a watch from its revision and read again, not stale, within 1.5 to 3 s. Pages are retried up to 8 times. The list is confirmed each 60 s.

--- a/features/forwarding/platform.feature
+++ b/features/forwarding/platform.feature
@@ -21,6 +21,7 @@
 
   Scenario: A list of many pages is read whole
     Then platform pages are put together under the first revision
+    And platform pages that go on failing end the read
 
   Scenario: Nothing outside the adapter names the platform
     Then the platform's names stand in the adapter only
--- a/features/forwarding/store.feature
+++ b/features/forwarding/store.feature
@@ -23,3 +23,7 @@
     Given a fresh forwarding node whose store is silent
     When forwarding is told all a peer knows
     Then forwarding is ready and forwards to back ends that left the list
+
+  Scenario: A first list that may be stale is confirmed soon
+    Given a fresh forwarding node whose store is silent
+    Then forwarding asks for a stale list first and reads it again within three seconds
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -144,9 +144,14 @@
 
 
 class ReadSubject(msgspec.Struct, frozen=True):
-    """Read everything of a subject from the store."""
+    """Read everything of a subject from the store.
+
+    :ivar may_be_stale: whether the answer may be some seconds old; it costs less, and
+        the watch that follows tells what has changed since.
+    """
 
     subject: Subject
+    may_be_stale: bool = False
 
 
 class WatchSubject(msgspec.Struct, frozen=True):
--- a/sloepond/core/forwarding/follower.py
+++ b/sloepond/core/forwarding/follower.py
@@ -22,8 +22,11 @@
 """The least wait after the store has refused for too many calls."""
 CONFIRM_AFTER_S = 1.2
 """Time after a broken watch at which everything is read once more."""
-CONFIRM_INTERVAL_S = 20.0
+CONFIRM_INTERVAL_S = {Subject.ROUTES: 20.0, Subject.BACKENDS: 60.0}
 """Time between reads of a subject whose watch goes on well."""
+CONFIRM_STALE_S = 1.5
+"""Time after a first read that may be stale at which everything is read again, drawn
+from once to twice this."""
 NEVER = float("inf")
 
 StoreCall = ReadSubject | WatchSubject
@@ -45,6 +48,8 @@
         self._revision = 0
         self._is_trusted = False
         self._is_reading = False
+        self._is_reading_stale = False
+        self._may_begin_stale = subject is Subject.BACKENDS
         self._is_watching = False
         self._next_call = 0.0
         self._confirm_at = -NEVER
@@ -72,7 +77,8 @@
             return calls
         if not self._is_reading and now >= self._confirm_at:
             self._is_reading = True
-            calls.append(ReadSubject(self._subject))
+            self._is_reading_stale = self._may_begin_stale
+            calls.append(ReadSubject(self._subject, self._is_reading_stale))
         if self._is_trusted and not self._is_watching:
             self._is_watching = True
             self._watch_started_at = now
@@ -83,14 +89,23 @@
         """Note that everything was read as of a revision."""
         self._is_reading = False
         self._is_trusted = True
+        self._may_begin_stale = False
         self._revision = max(self._revision, revision)
-        self.confirmed_at = now
         self.heard_at = now
         self.failures = 0
         self._next_call = now
-        interval = CONFIRM_INTERVAL_S * (0.75 + 0.5 * self._random.random())
-        self._confirm_at = now + (CONFIRM_AFTER_S if self._was_broken else interval)
+        self._confirm_at = now + self._confirm_interval()
         self._was_broken = False
+        if not self._is_reading_stale:
+            self.confirmed_at = now
+
+    def _confirm_interval(self) -> float:
+        drawn = self._random.random()
+        if self._is_reading_stale:
+            return CONFIRM_STALE_S * (1.0 + drawn)
+        if self._was_broken:
+            return CONFIRM_AFTER_S
+        return CONFIRM_INTERVAL_S[self._subject] * (0.75 + 0.5 * drawn)
 
     def watched(self, revision: int, now: float) -> None:
         """Note that a watch was answered."""
@@ -110,6 +125,7 @@
         if reason is StoreFailure.THROTTLED:
             wait_s = max(wait_s, THROTTLED_RETRY_S)
         self.failures += 1
+        self._may_begin_stale = False
         self._was_broken = True
         self._is_trusted = False
         self._confirm_at = now
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -31,8 +31,9 @@
 from sloepond.core.forwarding.token_lookup import HOLD_S, TokenLookup
 
 ASK_PEERS_AFTER_S = 0.3
-"""How long a fresh balancer waits for the store before it asks peers what they know."""
-ASK_PEERS_INTERVAL_S = 0.5
+"""How long a fresh balancer waits for the store before it asks a peer for all it knows."""
+ASK_PEERS_INTERVAL_S = 0.25
+"""Time until it asks another one."""
 
 
 class PeerExchange:
@@ -174,7 +175,7 @@
         told[Subject.BACKENDS] = max(told[Subject.BACKENDS], heartbeat.backends_revision)
         for subject in Subject:
             if self._is_behind(subject):
-                self._behind.setdefault(subject, now + BEHIND_S)
+                self._behind.setdefault(subject, now + BEHIND_S[subject])
 
     def _is_behind(self, subject: Subject) -> bool:
         if subject is Subject.ROUTES:
@@ -195,7 +196,7 @@
         if self._routes.version and len(self._backends):
             return
         self._ask_at = now + ASK_PEERS_INTERVAL_S
-        self._commands.extend(FetchKnowledge(ip) for ip in self._peers.choose(now))
+        self._commands.extend(FetchKnowledge(ip) for ip in self._peers.choose(now, 1)[:1])
 
     def _answer_token(self, ip: str, token: int, now: float) -> None:
         backend = self._backends.by_token(token)
--- a/sloepond/core/forwarding/peers.py
+++ b/sloepond/core/forwarding/peers.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from sloepond.core.forwarding.events import Subject
 from sloepond.core.forwarding.peer_messages import Heartbeat
 
 HEARTBEAT_INTERVAL_S = 1.0
@@ -22,9 +23,9 @@
 """Addresses carried by a heartbeat."""
 SILENT_S = 5.0
 """Silence after which a peer is no longer asked."""
-BEHIND_S = 0.4
+BEHIND_S = {Subject.ROUTES: 0.4, Subject.BACKENDS: 1.6}
 """How long this balancer may know less than a peer before it reads the store: its own
-watch mostly tells it first."""
+watch mostly tells it first, later by as much as it gathers changes."""
 NEVER = float("inf")
 
 
--- a/sloepond/platform/store.py
+++ b/sloepond/platform/store.py
@@ -11,6 +11,7 @@
     BackendsChanged,
     BackendsRead,
     DepartedBackend,
+    ReadSubject,
     RoutesChanged,
     RoutesRead,
     StoreCallFailed,
@@ -41,12 +42,13 @@
 class PlatformStoreCodec(StoreCodec):
     """The platform's store."""
 
-    def read_target(self, subject: Subject, page: str) -> str:
+    def read_target(self, command: ReadSubject, page: str) -> str:
         """Return the target of a GET that reads the configuration or a page of targets."""
-        if subject is Subject.ROUTES:
-            return f"/api/kv-key?key={quote(CONFIGURATION_KEY)}"
+        stale = "&stale=1" if command.may_be_stale else ""
+        if command.subject is Subject.ROUTES:
+            return f"/api/kv-key?key={quote(CONFIGURATION_KEY)}{stale}"
         after = f"&after={quote(page)}" if page else ""
-        return f"/api/kv-range?path_prefix={quote(SERVERS_PREFIX)}{after}"
+        return f"/api/kv-range?path_prefix={quote(SERVERS_PREFIX)}{after}{stale}"
 
     def watch_target(self, command: WatchSubject) -> str:
         """Return the target of a GET that waits for changes."""
--- a/sloepond/runtime/forwarding/drivers.py
+++ b/sloepond/runtime/forwarding/drivers.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from sloepond.core.forwarding.backends import ForwardingBackend
-from sloepond.core.forwarding.events import StoreEvent, Subject, WatchSubject
+from sloepond.core.forwarding.events import ReadSubject, StoreEvent, Subject, WatchSubject
 from sloepond.core.forwarding.packets import Segment
 
 
@@ -94,7 +94,7 @@
     """Names and formats of the platform's store; what it cannot decode is an event too."""
 
     @abc.abstractmethod
-    def read_target(self, subject: Subject, page: str) -> str:
+    def read_target(self, command: ReadSubject, page: str) -> str:
         """Return the target of a GET that reads a page of a subject."""
 
     @abc.abstractmethod
--- a/sloepond/runtime/forwarding/early.py
+++ b/sloepond/runtime/forwarding/early.py
@@ -74,7 +74,7 @@
     def __init__(self, command: ReadSubject, endpoint: tuple[str, int], codec: StoreCodec) -> None:
         self.command = command
         self._exchange = HttpExchange(f"{endpoint[0]}:{endpoint[1]}")
-        self._pages = PagedRead(command.subject, codec)
+        self._pages = PagedRead(command, codec)
         self._unsent = self._exchange.request(self._pages.target)
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.socket.setblocking(False)
--- a/sloepond/runtime/forwarding/store_client.py
+++ b/sloepond/runtime/forwarding/store_client.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import random
+
+import trio
+
 from sloepond.core.forwarding.events import (
     ReadSubject,
     StoreCallFailed,
@@ -12,7 +16,7 @@
 from sloepond.runtime.forwarding.drivers import StoreCodec
 from sloepond.runtime.forwarding.http_client import HttpClient
 from sloepond.runtime.forwarding.http_exchange import HttpFailure
-from sloepond.runtime.forwarding.store_pages import PagedRead, store_failure
+from sloepond.runtime.forwarding.store_pages import PAGE_RETRIES, PagedRead, store_failure
 
 READ_TIMEOUT_S = 0.7
 WATCH_MARGIN_S = 0.7
@@ -36,9 +40,10 @@
 
     async def read(self, command: ReadSubject) -> StoreEvent:
         """Read everything of a subject."""
-        paged = PagedRead(command.subject, self._codec)
+        paged = PagedRead(command, self._codec, PAGE_RETRIES)
         event: StoreEvent | None = None
         while event is None:
+            await trio.sleep(paged.wait_s * (0.5 + random.random()))
             event = paged.answered(await self._client.get(paged.target, READ_TIMEOUT_S))
         return event
 
--- a/sloepond/runtime/forwarding/store_pages.py
+++ b/sloepond/runtime/forwarding/store_pages.py
@@ -5,6 +5,7 @@
 from sloepond.core.forwarding.backends import BackendRecord
 from sloepond.core.forwarding.events import (
     BackendsRead,
+    ReadSubject,
     RoutesRead,
     StoreCallFailed,
     StoreEvent,
@@ -22,6 +23,10 @@
 _STATUSES = {429: StoreFailure.THROTTLED, 410: StoreFailure.HISTORY_LOST}
 OK = 200
 NOT_FOUND = 404
+FIRST_WAIT_S = 0.1
+"""Wait before a page is asked for again; it doubles with each failure in a row."""
+LONGEST_WAIT_S = 0.8
+PAGE_RETRIES = 8
 
 
 def store_failure(answer: HttpResponse | HttpFailure) -> StoreFailure | None:
@@ -36,33 +41,45 @@
 class PagedRead:
     """One read of everything of a subject, page by page.
 
+    A page that fails is asked for again: a long list is not begun anew for it.
+
+    :param retries: how often in all.
     :ivar target: what to ask for next.
+    :ivar wait_s: how long to wait before that.
     """
 
-    def __init__(self, subject: Subject, codec: StoreCodec) -> None:
-        self._subject = subject
+    def __init__(self, command: ReadSubject, codec: StoreCodec, retries: int = 0) -> None:
+        self._command = command
         self._codec = codec
+        self._retries = retries
         self._records: list[BackendRecord] = []
         self._revision = 0
-        self.target = codec.read_target(subject, "")
+        self.target = codec.read_target(command, "")
+        self.wait_s = 0.0
 
     def answered(self, answer: HttpResponse | HttpFailure) -> StoreEvent | None:
         """Take the answer to `target`; return the event once all pages are there."""
         failure = store_failure(answer)
         if isinstance(answer, HttpResponse) and failure is None:
+            self.wait_s = 0.0
             return self._page(answer.body)
+        subject = self._command.subject
         is_absent = isinstance(answer, HttpResponse) and answer.status == NOT_FOUND
-        if is_absent and self._subject is Subject.ROUTES:
+        if is_absent and subject is Subject.ROUTES:
             return RoutesRead(0, None)
-        return StoreCallFailed(self._subject, failure or StoreFailure.REFUSED, False)
+        if self._records and self._retries > 0:
+            self._retries -= 1
+            self.wait_s = min(LONGEST_WAIT_S, max(FIRST_WAIT_S, 2.0 * self.wait_s))
+            return None
+        return StoreCallFailed(subject, failure or StoreFailure.REFUSED, False)
 
     def _page(self, body: bytes) -> StoreEvent | None:
-        page = self._codec.decode_page(self._subject, body)
+        page = self._codec.decode_page(self._command.subject, body)
         if not isinstance(page.event, BackendsRead):
             return page.event
         self._records.extend(page.event.records)
         self._revision = self._revision or page.event.revision
         if page.next_page:
-            self.target = self._codec.read_target(self._subject, page.next_page)
+            self.target = self._codec.read_target(self._command, page.next_page)
             return None
         return BackendsRead(self._revision, tuple(self._records))
