--- a/sloepond/core/forwarding/backends.py
+++ b/sloepond/core/forwarding/backends.py
@@ -85,16 +85,14 @@
     :ivar said_leaving: whether it has said that it leaves.
     :ivar flows: flows opened through this balancer and not closed.
     :ivar in_flight: requests seen through this balancer without an answer.
-    :ivar peer_load: requests in flight that peers see there.
     :ivar decision: the decision to forward to it.
-    :ivar silences: opening packets in a row it has not answered.
     :ivar silent_until: time until which it is passed over for its silence.
     """
 
     __slots__ = (
         "name", "number", "service", "endpoint", "zone", "slots", "state", "token", "prefix",
-        "warm_at", "departed_at", "said_leaving", "revision", "flows", "in_flight", "peer_load",
-        "silences", "silent_until", "token_bytes", "decision",
+        "warm_at", "departed_at", "said_leaving", "revision", "flows", "in_flight",
+        "silent_until", "token_bytes", "decision",
     )  # fmt: skip
 
     def __init__(self, record: BackendRecord, now: float) -> None:
@@ -109,9 +107,7 @@
         self.decision = Decision(self)
         self.flows = 0
         self.in_flight = 0
-        self.silences = 0
         self.silent_until = 0.0
-        self.peer_load = 0.0
         self.departed_at = now
         self.said_leaving = False
         self.update(record, now)
--- a/sloepond/core/forwarding/counters.py
+++ b/sloepond/core/forwarding/counters.py
@@ -23,7 +23,7 @@
     refused_no_token: int = 0
     refused_not_configured: int = 0
     refused_stale_knowledge: int = 0
-    refused_waited_too_long: int = 0
+    packets_waited_too_long: int = 0
     tokens_looked_up: int = 0
     tokens_found_by_peers: int = 0
     held_packets_dropped: int = 0
--- a/sloepond/core/forwarding/forwarder.py
+++ b/sloepond/core/forwarding/forwarder.py
@@ -93,7 +93,6 @@
 
     def _second_choice(self, first: ForwardingBackend, now: float) -> ForwardingBackend | None:
         """Return another back end than the one that left an opening packet unanswered."""
-        first.silences += 1
         first.silent_until = now + SILENCE_S
         self._counters.second_choices += 1
         return self._choose(first.service, now, first.name)
--- a/sloepond/core/forwarding/packets.py
+++ b/sloepond/core/forwarding/packets.py
@@ -54,4 +54,3 @@
     NO_TOKEN = "no_token"
     NOT_CONFIGURED = "not_configured"
     STALE_KNOWLEDGE = "stale_knowledge"
-    WAITED_TOO_LONG = "waited_too_long"
--- a/sloepond/core/forwarding/selection.py
+++ b/sloepond/core/forwarding/selection.py
@@ -56,5 +56,5 @@
     def _load(self, backend: ForwardingBackend, now: float) -> float:
         """Return the expected load for each slot."""
         slots = backend.slots * (COLD_FACTOR if now < backend.warm_at else 1.0)
-        load = (backend.in_flight + backend.peer_load + FLOW_WEIGHT * backend.flows + 1.0) / slots
+        load = (backend.in_flight + FLOW_WEIGHT * backend.flows + 1.0) / slots
         return load if backend.zone == self._zone else load + OTHER_ZONE_LOAD
--- a/sloepond/runtime/forwarding/data_path.py
+++ b/sloepond/runtime/forwarding/data_path.py
@@ -53,7 +53,7 @@
                 self._edge.recv(MAXIMUM_DATAGRAM_BYTES)
             except OSError:
                 return
-            self._counters.refused_waited_too_long += 1
+            self._counters.packets_waited_too_long += 1
 
     def packet(self, datagram: bytes, now: float) -> None:
         """Decide on one packet and carry the decision out."""
