A read of the store is given up after silence, not after a total time

Ruled out: a missed watch (peers told of the version each second).

Change: the time-out counts from the last bytes of the answer; 8 s in all.

--- a/sloepond/runtime/forwarding/http_client.py
+++ b/sloepond/runtime/forwarding/http_client.py
@@ -8,6 +8,8 @@
 from sloepond.runtime.forwarding.http_exchange import HttpExchange, HttpFailure, HttpResponse
 
 READ_BYTES = 65_536
+LONGEST_CALL_S = 8.0
+"""How long an answer may take after its first bytes, however steadily they come."""
 
 
 class HttpClient:
@@ -21,13 +23,21 @@
         self._port = port
         self._idle: list[HttpConnection] = []
 
-    async def get(self, target: str, timeout_s: float) -> HttpResponse | HttpFailure:
-        """Return the response, or why there is none within `timeout_s`."""
+    async def get(
+        self, target: str, silence_s: float, first_wait_s: float | None = None
+    ) -> HttpResponse | HttpFailure:
+        """Return the response, or why there is none.
+
+        A large answer over a slow link takes its time; only silence ends the call.
+
+        :param silence_s: longest wait for the next bytes of the answer.
+        :param first_wait_s: the same for the first bytes; `silence_s` if not given.
+        """
         connection: HttpConnection | None = None
-        with trio.move_on_after(timeout_s):
+        with trio.move_on_after(silence_s if first_wait_s is None else first_wait_s) as patience:
             try:
                 connection = self._idle.pop() if self._idle else await self._connect()
-                response = await connection.get(target)
+                response = await connection.get(target, Patience(patience, silence_s))
             except OSError:
                 _close(connection)
                 return HttpFailure.UNREACHABLE
@@ -60,6 +70,25 @@
         return HttpConnection(stream, HttpExchange(f"{self._host}:{self._port}"))
 
 
+class Patience:
+    """Moves the end of a call on while its answer is coming.
+
+    :param scope: cancels the call at its deadline.
+    """
+
+    def __init__(self, scope: trio.CancelScope, silence_s: float) -> None:
+        self._scope = scope
+        self._silence_s = silence_s
+        self._latest: float | None = None
+
+    def heard(self) -> None:
+        """Note that bytes of the answer have come."""
+        now = trio.current_time()
+        if self._latest is None:
+            self._latest = now + LONGEST_CALL_S
+        self._scope.deadline = min(now + self._silence_s, self._latest)
+
+
 class HttpConnection:
     """One connection to the server."""
 
@@ -67,9 +96,11 @@
         self._stream = stream
         self.exchange = exchange
 
-    async def get(self, target: str) -> HttpResponse:
+    async def get(self, target: str, patience: Patience) -> HttpResponse:
         """Send a request and return the response.
 
+        :param patience: told of all bytes that come.
+
         :raises OSError: where the connection fails.
         :raises h11.ProtocolError: where the server does not speak HTTP or breaks off.
         """
@@ -78,7 +109,9 @@
             data = data[await self._stream.send(data) :]
         response = None
         while response is None:
-            response = self.exchange.receive(await self._stream.recv(READ_BYTES))
+            data = await self._stream.recv(READ_BYTES)
+            patience.heard()
+            response = self.exchange.receive(data)
         return response
 
     def close(self) -> None:
--- a/sloepond/runtime/forwarding/store_client.py
+++ b/sloepond/runtime/forwarding/store_client.py
@@ -18,7 +18,8 @@
 from sloepond.runtime.forwarding.http_exchange import HttpFailure
 from sloepond.runtime.forwarding.store_pages import PAGE_RETRIES, PagedRead, store_failure
 
-READ_TIMEOUT_S = 0.7
+SILENCE_S = 0.7
+"""Longest wait for the next bytes of an answer."""
 WATCH_MARGIN_S = 0.7
 """How long after the end of its wait a watch is given up."""
 
@@ -44,13 +45,13 @@
         event: StoreEvent | None = None
         while event is None:
             await trio.sleep(paged.wait_s * (0.5 + random.random()))
-            event = paged.answered(await self._client.get(paged.target, READ_TIMEOUT_S))
+            event = paged.answered(await self._client.get(paged.target, SILENCE_S))
         return event
 
     async def watch(self, command: WatchSubject) -> StoreEvent:
         """Wait for changes of a subject."""
         target = self._codec.watch_target(command)
-        answer = await self._client.get(target, command.wait_s + WATCH_MARGIN_S)
+        answer = await self._client.get(target, SILENCE_S, command.wait_s + WATCH_MARGIN_S)
         failure = store_failure(answer)
         if isinstance(answer, HttpFailure) or failure is not None:
             return StoreCallFailed(command.subject, failure or StoreFailure.REFUSED, True)
