--- a/features/forwarding/lifecycle.feature
+++ b/features/forwarding/lifecycle.feature
@@ -10,6 +10,11 @@
     When forwarding has slept for three seconds
     Then forwarding forwards open flows, places none, and places again once everything was read
 
+  Scenario: A listener that wakes late places no flow before it has read the store either
+    Given a forwarding node with routes and back ends
+    When forwarding has slept for three seconds as a listener
+    Then forwarding forwards open flows, places none, and places again once everything was read
+
   Scenario: A process that wakes late while the store is silent places again after a second
     Given a forwarding node with routes and back ends
     When forwarding has slept for three seconds
--- a/features/forwarding/store.feature
+++ b/features/forwarding/store.feature
@@ -14,10 +14,11 @@
   Scenario: A store that fails is asked at a bounded rate
     Then forwarding property: calls to a failing store stay below three a second for each subject
 
-  Scenario: A peer that knows more makes this balancer read
+  Scenario: A peer that knows more is asked, and the store where no peer answers
     Given a forwarding node with routes and back ends
-    When forwarding hears of a newer version from a peer and its watch stays silent
-    Then forwarding reads the routes within half a second
+    When forwarding hears of a newer version from a peer
+    Then forwarding asks that peer for it within a fifth of a second
+    And forwarding reads the routes within a second where no peer answers
 
   Scenario: A fresh balancer learns from peers while the store is silent
     Given a fresh forwarding node whose store is silent
--- /dev/null
+++ b/features/steps/forwarding_fleet.py
@@ -0,0 +1,249 @@
+"""A fleet of forwarding nodes on a simulated network before a simulated store."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+
+from forwarding_model import record
+
+from sloepond.core.forwarding.backends import BackendState
+from sloepond.core.forwarding.events import (
+    BackendsChanged,
+    BackendsRead,
+    DepartedBackend,
+    FetchKnowledge,
+    KnowledgeReceived,
+    PeerMessageReceived,
+    ProbeStore,
+    ReadSubject,
+    RoutesChanged,
+    RoutesRead,
+    SendToPeer,
+    StoreCallFailed,
+    StoreFailure,
+    StoreProbed,
+    Subject,
+    TimerFired,
+    WatchSubject,
+)
+from sloepond.core.forwarding.node import ForwardingNode
+from sloepond.core.forwarding.readers import Role
+from sloepond.core.forwarding.routes import Route, RouteConfiguration, Share
+
+ANSWER_S = 0.01
+TIMEOUT_S = 0.7
+HOP_S = 0.002
+STALE_S = 2.0
+
+
+def route(number, service="booking"):
+    """Return a route."""
+    return Route(f"r{number}", number << 16 | 443, (Share(service, 1),))
+
+
+class SimulatedStore:
+    """Routes and back ends, each change at a revision of its own."""
+
+    def __init__(self):
+        self.revision = 100
+        self.routes = RouteConfiguration(1, tuple(route(n) for n in range(5)))
+        self.backends = {}
+        self.log = []
+        self.calls = 0
+        for number in range(1, 8):
+            self.put(number, 0.0)
+
+    def put(self, number, now, state=BackendState.READY):
+        """Write a back end's entry."""
+        self.revision += 1
+        entry = record(number, revision=self.revision, state=state)
+        self.backends[entry.name] = entry
+        self.log.append((now, Subject.BACKENDS, self.revision, entry))
+
+    def remove(self, number, now):
+        """Remove a back end's entry."""
+        self.revision += 1
+        name = record(number).name
+        del self.backends[name]
+        self.log.append((now, Subject.BACKENDS, self.revision, DepartedBackend(name, self.revision)))
+
+    def configure(self, routes, now):
+        """Write a version of the routes."""
+        self.revision += 1
+        self.routes = RouteConfiguration(self.routes.version + 3, tuple(routes))
+        self.log.append((now, Subject.ROUTES, self.revision, self.routes))
+
+    def read(self, command, now):
+        """Return what a read brings."""
+        if command.subject is Subject.ROUTES:
+            return RoutesRead(self.revision, self.routes)
+        if not command.may_be_stale:
+            return BackendsRead(self.revision, tuple(self.backends.values()))
+        entries = {}
+        for at, subject, _, change in self.log:
+            if subject is Subject.BACKENDS and at <= now - STALE_S:
+                entries[change.name] = change
+        kept = tuple(entry for entry in entries.values() if not isinstance(entry, DepartedBackend))
+        return BackendsRead(self.revision, kept)
+
+    def changes(self, command):
+        """Return what a watch brings, None where it waits on."""
+        found = [
+            (revision, change)
+            for _, subject, revision, change in self.log
+            if subject is command.subject and revision > command.after
+        ]
+        if not found:
+            return None
+        values = tuple(change for _, change in found)
+        kind = RoutesChanged if command.subject is Subject.ROUTES else BackendsChanged
+        return kind(self.revision, values)
+
+
+class Fleet:
+    """Nodes, their clock, network and store.
+
+    :ivar loss: share of the datagrams that are lost.
+    :ivar apart: pairs of groups: no datagram goes between different groups.
+    :ivar storeless: addresses whose calls to the store bring nothing.
+    """
+
+    def __init__(self, count, seed=1, loss=0.0, seeds=3):
+        self.random = random.Random(seed)
+        self.now = 10.0
+        self.store = SimulatedStore()
+        self.loss = loss
+        self.group = {}
+        self.storeless = set()
+        self.nodes = {}
+        self.watches = {}
+        self.datagrams = 0
+        self.queue = []
+        self.order = itertools.count()
+        self.ips = [f"10.1.{n // 250}.{n % 250 + 1}" for n in range(count)]
+        self.seeds = tuple(self.ips[:seeds])
+        for ip in self.ips:
+            self.start(ip)
+
+    def start(self, ip):
+        """Start a fresh process."""
+        self.watches = {key: watch for key, watch in self.watches.items() if key[0] != ip}
+        zone = f"z{int(ip.rpartition('.')[2]) % 3}"
+        node = ForwardingNode(zone, random.Random(self.random.random()), ip, self.seeds, capacity=0.1)
+        self.nodes[ip] = node
+        self.carry_out(ip, node, node.start(self.now))
+
+    def kill(self, ip):
+        """End a process without a word."""
+        self.nodes.pop(ip, None)
+        self.watches = {key: watch for key, watch in self.watches.items() if key[0] != ip}
+
+    def later(self, delay_s, ip, node, event):
+        """Give an event to a node some time from now."""
+        heapq.heappush(self.queue, (self.now + delay_s, next(self.order), ip, node, event))
+
+    def carry_out(self, ip, node, commands):
+        """Carry commands of a node out."""
+        for command in commands:
+            if isinstance(command, SendToPeer):
+                self.send(ip, command)
+            elif isinstance(command, FetchKnowledge):
+                self.fetch(ip, node, command.ip)
+            elif isinstance(command, ReadSubject | WatchSubject | ProbeStore):
+                self.call(ip, node, command)
+
+    def send(self, ip, command):
+        """Send a datagram."""
+        self.datagrams += 1
+        target = self.nodes.get(command.ip)
+        is_apart = self.group.get(ip) != self.group.get(command.ip)
+        if target is None or is_apart or self.random.random() < self.loss:
+            return
+        delay_s = HOP_S * (1.0 + self.random.random())
+        self.later(delay_s, command.ip, target, PeerMessageReceived(ip, command.message))
+
+    def fetch(self, ip, node, peer):
+        """Bring all that a peer knows."""
+        target = self.nodes.get(peer)
+        if target is None or self.group.get(ip) != self.group.get(peer):
+            return
+        knowledge = target.peer_knowledge(self.now)
+        if knowledge is not None:
+            self.later(ANSWER_S, ip, node, KnowledgeReceived(peer, knowledge))
+
+    def call(self, ip, node, command):
+        """Call the store."""
+        self.store.calls += 1
+        if ip in self.storeless:
+            self.later(TIMEOUT_S, ip, node, self.failure(command, StoreFailure.TIMED_OUT))
+        elif isinstance(command, WatchSubject):
+            self.watches[(ip, command.subject)] = (node, command)
+            self.answer_watches()
+        elif isinstance(command, ProbeStore):
+            self.later(ANSWER_S, ip, node, StoreProbed(None))
+        else:
+            self.later(ANSWER_S, ip, node, self.store.read(command, self.now))
+
+    @staticmethod
+    def failure(command, reason):
+        """Return the event of a failed call."""
+        if isinstance(command, ProbeStore):
+            return StoreProbed(reason)
+        return StoreCallFailed(command.subject, reason, isinstance(command, WatchSubject))
+
+    def answer_watches(self):
+        """Answer the watches that have something to tell; cut ones hang."""
+        for key, (node, command) in list(self.watches.items()):
+            if key[0] in self.storeless:
+                continue
+            answer = self.store.changes(command)
+            if answer is not None:
+                del self.watches[key]
+                self.later(ANSWER_S, key[0], node, answer)
+
+    def run(self, seconds):
+        """Let time pass."""
+        end = self.now + seconds
+        while True:
+            self.answer_watches()
+            due = min(((node.next_deadline(), ip) for ip, node in self.nodes.items()), default=(end, ""))
+            arrives = self.queue[0][0] if self.queue else end
+            if min(due[0], arrives) >= end:
+                break
+            if arrives <= due[0]:
+                self.now, _, ip, node, event = heapq.heappop(self.queue)
+                if self.nodes.get(ip) is node:
+                    self.carry_out(ip, node, node.handle(event, self.now))
+            else:
+                self.now = max(self.now, due[0])
+                node = self.nodes[due[1]]
+                self.carry_out(due[1], node, node.handle(TimerFired(), self.now))
+        self.now = end
+
+    def readers(self):
+        """Return the addresses of readers."""
+        return [ip for ip, node in self.nodes.items() if node.role is Role.READER]
+
+    def run_until_known(self, limit_s):
+        """Let time pass until all know what the store holds; return how long it took."""
+        begun = self.now
+        while self.now - begun < limit_s:
+            self.run(0.05)
+            if not self.behind():
+                return self.now - begun
+        raise AssertionError(f"{self.behind()} do not know it after {limit_s} s")
+
+    def behind(self):
+        """Return the addresses of nodes that know less than the store holds."""
+        return [ip for ip, node in self.nodes.items() if not self.knows_all(node)]
+
+    def knows_all(self, node):
+        """Tell whether a node knows exactly what the store holds."""
+        routes = {route.key: route for route in node.routes.in_force.routes}
+        wanted = {route.key: route for route in self.store.routes.routes}
+        if node.routes.version != self.store.routes.version or routes != wanted:
+            return False
+        listed = {b.name: b.state for b in node.backends if b.state is not BackendState.DEPARTED}
+        return listed == {entry.name: entry.state for entry in self.store.backends.values()}
--- a/features/steps/forwarding_model.py
+++ b/features/steps/forwarding_model.py
@@ -10,10 +10,12 @@
     ReadSubject,
     RoutesRead,
     Subject,
+    TimerFired,
     WatchSubject,
 )
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.core.forwarding.packets import Segment
+from sloepond.core.forwarding.readers import CHECK_INTERVAL_S, CLAIM_WAIT_S, START_S, URGENT_DELAY_S, Role
 from sloepond.core.forwarding.routes import Route, RouteConfiguration, Share
 
 STREAM = 1 << 16 | 443
@@ -113,6 +115,13 @@
         self.handle(BackendsRead(revision, records() if backends is None else backends))
         return self
 
+    def become_reader(self, revision=10, routes=ROUTES, backends=None):
+        """Hear no reader until the node becomes one; answer what it reads then."""
+        self.run_to(self.now + START_S + URGENT_DELAY_S + CLAIM_WAIT_S + 2 * CHECK_INTERVAL_S, TimerFired())
+        assert self.node.role is Role.READER
+        self.commands.clear()
+        return self.configure(routes, backends, revision)
+
     def reads(self, subject):
         """Return and forget the reads of a subject."""
         found = [c for c in self.commands if isinstance(c, ReadSubject) and c.subject is subject]
--- /dev/null
+++ b/features/steps/forwarding_readers_steps.py
@@ -0,0 +1,249 @@
+"""Steps on the readers of the store and on how what they read spreads."""
+
+from __future__ import annotations
+
+import random
+
+from behave import given, then, when
+from forwarding_fleet import Fleet, route
+from forwarding_model import record
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from sloepond.core.forwarding.backends import BackendDirectory, BackendState
+from sloepond.core.forwarding.news import News
+from sloepond.core.forwarding.readers import READERS, Role
+from sloepond.core.forwarding.route_delta import difference
+from sloepond.core.forwarding.route_table import RouteTable
+from sloepond.core.forwarding.routes import RouteConfiguration
+
+FLEET_PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=8)
+PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=80)
+SETTLED_S = 6.0
+
+
+@given("a simulated fleet of {count:d} forwarding nodes")
+def fleet_of(context, count):
+    context.fleet = Fleet(count)
+    context.fleet.run(SETTLED_S)
+    assert not context.fleet.behind()
+
+
+@then("the forwarding fleet has {count:d} readers after {seconds:d} seconds")
+def has_readers(context, count, seconds):
+    context.fleet.run(seconds)
+    assert len(context.fleet.readers()) == count == READERS, context.fleet.readers()
+
+
+@when("all readers of the forwarding fleet are killed")
+def readers_killed(context):
+    for ip in context.fleet.readers():
+        context.fleet.kill(ip)
+
+
+@then("the forwarding fleet calls the store less than {rate:d} times a second at rest")
+def calls_at_rest(context, rate):
+    before = context.fleet.store.calls
+    context.fleet.run(20.0)
+    assert context.fleet.store.calls - before < rate * 20
+
+
+@then(
+    "forwarding fleets of {few:d} and of {many:d} send at most {rate:d} datagrams a second for each balancer"
+)
+def datagrams(context, few, many, rate):
+    for count in (few, many):
+        fleet = Fleet(count)
+        fleet.run(SETTLED_S)
+        before = fleet.datagrams
+        fleet.run(5.0)
+        assert (fleet.datagrams - before) / 5.0 / count <= rate
+
+
+def change_something(fleet, kind):
+    """Make one change in the store."""
+    if kind == 0:
+        fleet.store.configure(
+            [*fleet.store.routes.routes[1:], route(50 + fleet.store.routes.version)], fleet.now
+        )
+    elif kind == 1:
+        fleet.store.put(fleet.store.revision, fleet.now)
+    elif kind == 2:
+        fleet.store.put(3, fleet.now, BackendState.LEAVING)
+    elif record(4).name in fleet.store.backends:
+        fleet.store.remove(4, fleet.now)
+
+
+@then("forwarding property: changes of routes and back ends reach a fleet with losses within 1 second")
+def reach_all(context):
+    @FLEET_PROPERTY
+    @for_all(st.lists(st.integers(0, 3), min_size=1, max_size=4), st.integers(0, 999))
+    def check(kinds, seed):
+        fleet = Fleet(25, seed, loss=0.2)
+        fleet.run(SETTLED_S)
+        for kind in kinds:
+            change_something(fleet, kind)
+            fleet.run(0.3)
+        # The last change may be gathered for a second by watches that have just answered.
+        fleet.run_until_known(1.0 + 1.0)
+
+    check()
+
+
+@when("the operator of the forwarding fleet adds {count:d} routes")
+def adds_routes(context, count):
+    fleet = context.fleet
+    fleet.store.configure([*fleet.store.routes.routes, *(route(100 + n) for n in range(count))], fleet.now)
+
+
+@when("{count:d} back ends of the forwarding fleet start at once")
+def backends_start(context, count):
+    for number in range(count):
+        context.fleet.store.put(100 + number, context.fleet.now)
+
+
+@then("the forwarding fleet knows all within {seconds:d} seconds")
+def knows_all(context, seconds):
+    context.fleet.run_until_known(seconds)
+
+
+@then("forwarding property: a change after all readers were cut from the store is known within 3 seconds")
+def readers_cut(context):
+    @FLEET_PROPERTY
+    @for_all(st.floats(0.0, 1.5), st.integers(0, 999))
+    def check(wait_s, seed):
+        fleet = Fleet(25, seed)
+        fleet.run(SETTLED_S + wait_s)
+        fleet.storeless = set(fleet.readers())
+        assert len(fleet.storeless) == READERS
+        change_something(fleet, 0)
+        change_something(fleet, 3)
+        fleet.run_until_known(3.0)
+
+    check()
+
+
+@when("the forwarding fleet is parted in two and the operator changes a route")
+def parted(context):
+    fleet = context.fleet
+    fleet.group = {ip: index % 3 == 0 for index, ip in enumerate(fleet.ips)}
+    change_something(fleet, 0)
+
+
+@when("the parts of the forwarding fleet meet again")
+def meet_again(context):
+    context.fleet.group = {}
+
+
+@when("one listener of the forwarding fleet is cut off from all others and the operator changes a route")
+def cut_off(context):
+    fleet = context.fleet
+    listener = next(ip for ip, node in fleet.nodes.items() if node.role is Role.LISTENER)
+    fleet.group = {listener: 1}
+    change_something(fleet, 0)
+
+
+@when("the forwarding fleet is without the store for {seconds:d} seconds")
+def without_store(context, seconds):
+    fleet = context.fleet
+    fleet.storeless = set(fleet.ips)
+    before = fleet.store.calls
+    fleet.run(seconds)
+    context.calls_per_s = (fleet.store.calls - before) / seconds
+
+
+@then("the forwarding fleet has called it less than {rate:d} times a second")
+def called_seldom(context, rate):
+    assert context.calls_per_s < rate, context.calls_per_s
+
+
+@when("the store is back and the operator changes a route")
+def store_back(context):
+    context.fleet.storeless = set()
+    change_something(context.fleet, 0)
+
+
+@when("the store refuses a third of the forwarding fleet, its readers first, and changes come")
+def store_refuses(context):
+    fleet = context.fleet
+    others = [ip for ip in fleet.ips if ip not in fleet.readers()]
+    fleet.storeless = set(fleet.readers() + others)
+    fleet.storeless = set(sorted(fleet.storeless, key=lambda ip: ip not in fleet.readers())[:10])
+    change_something(fleet, 0)
+    change_something(fleet, 2)
+
+
+@when("a back end of the forwarding fleet leaves and a process is started anew")
+def leaves_and_starts(context):
+    fleet = context.fleet
+    fleet.store.remove(4, fleet.now)
+    fleet.run(1.2)
+    listener = next(ip for ip, node in fleet.nodes.items() if node.role is Role.LISTENER)
+    fleet.start(listener)
+
+
+VERSIONS = st.lists(st.dictionaries(st.integers(0, 6), st.sampled_from("ab")), min_size=2, max_size=6)
+
+
+@then("forwarding property: a difference of routes makes the newer version out of the older one only")
+def differences(context):
+    @PROPERTY
+    @for_all(VERSIONS)
+    def check(contents):
+        versions = [
+            RouteConfiguration(number + 1, tuple(route(key, service) for key, service in content.items()))
+            for number, content in enumerate(contents)
+        ]
+        full, told = RouteTable(random.Random(1)), RouteTable(random.Random(1))
+        told.take(versions[0])
+        full.take(versions[0])
+        for version in versions[1:]:
+            before = {each.key: each for each in full.in_force.routes}
+            delta = difference(full.version, before, version)
+            full.take(version)
+            fresh = RouteTable(random.Random(1))
+            assert not fresh.take_delta(delta) and fresh.version == 0
+            assert told.take_delta(delta) and not told.take_delta(delta)
+            assert {each.key: each for each in told.in_force.routes} == {
+                each.key: each for each in version.routes
+            }
+        chain = full.history.chain(1, full.version)
+        assert [delta.version for delta in chain] == list(range(2, len(versions) + 1))
+
+    check()
+
+
+@then("forwarding property: changes told in parts, some lost, never leave a gap unnoticed")
+def no_gap(context):
+    @PROPERTY
+    @for_all(
+        st.lists(st.lists(st.integers(0, 30), min_size=1, max_size=30, unique=True), min_size=1, max_size=5),
+        st.randoms(use_true_random=False),
+    )
+    def check(rounds, chance):
+        reader, listener = BackendDirectory(), BackendDirectory()
+        news, taken = (News(RouteTable(random.Random(1)), each) for each in (reader, listener))
+        revision, known = 0, 0
+        for at, numbers in enumerate(rounds):
+            for number in numbers:
+                revision += 1
+                name = record(number).name
+                if reader.by_name(name) is not None and chance.random() < 0.3:
+                    reader.depart(name, revision, float(at))
+                else:
+                    reader.put(record(number, revision=revision), float(at))
+            parts = list(news.confirmed_changes(revision, float(at)))
+            chance.shuffle(parts)
+            for changes in parts:
+                if chance.random() < 0.3:
+                    continue
+                taken.take_backends(changes, float(at))
+                known = taken.advanced(changes, known)
+                for backend in reader:
+                    if backend.revision <= known:
+                        mine = listener.by_name(backend.name)
+                        assert mine is not None and mine.revision >= backend.revision
+                        assert mine.state is backend.state or mine.revision > backend.revision
+
+    check()
--- a/sloepond/core/forwarding/backends.py
+++ b/sloepond/core/forwarding/backends.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from sloepond.core.forwarding.change_index import ChangeIndex
 from sloepond.core.forwarding.packets import Refusal
 from sloepond.core.forwarding.places import ANYWHERE, PlaceRules
 
@@ -154,6 +155,7 @@
     no flow until the first is forgotten, so the token always means one of them.
 
     :param places: where flows may go; a back end elsewhere is given none.
+    :ivar changes: which of them have changed since a revision.
     """
 
     def __init__(self, places: PlaceRules = ANYWHERE) -> None:
@@ -163,6 +165,7 @@
         self._by_service: dict[str, dict[str, ForwardingBackend]] = {}
         self._candidates: dict[str, list[ForwardingBackend]] = {}
         self._shadowed: set[str] = set()
+        self.changes = ChangeIndex()
 
     def __len__(self) -> int:
         return len(self._by_name)
@@ -214,9 +217,21 @@
             return False
         else:
             backend.update(record, now)
-        self._candidates.pop(record.service, None)
+        self._changed(record.name, record.service, record.revision)
         return True
 
+    def take(self, record: BackendRecord, departed_s: float, now: float) -> bool:
+        """Take a record as a peer knows it, with the state it has there.
+
+        :param departed_s: seconds since it left the list, 0 if it is listed.
+        :returns: whether anything changed.
+        """
+        if record.name not in self._by_name:
+            return self.put_known(record, departed_s, now)
+        if record.state is BackendState.DEPARTED:
+            return self.depart(record.name, record.revision, now - departed_s)
+        return self.put(record, now)
+
     def put_known(self, record: BackendRecord, departed_s: float, now: float) -> bool:
         """Take a record from a peer: it adds what is unknown here, and changes nothing else."""
         if record.name in self._by_name:
@@ -224,7 +239,7 @@
         backend = ForwardingBackend(record, now)
         backend.departed_at = now - departed_s
         self._add(backend)
-        self._candidates.pop(record.service, None)
+        self._changed(record.name, record.service, record.revision)
         return True
 
     def depart(self, name: str, revision: int, now: float) -> bool:
@@ -235,7 +250,7 @@
         backend.state = BackendState.DEPARTED
         backend.revision = revision
         backend.departed_at = now
-        self._candidates.pop(backend.service, None)
+        self._changed(name, backend.service, revision)
         return True
 
     def listed(self, records: Sequence[BackendRecord], revision: int, now: float) -> int:
@@ -257,8 +272,13 @@
         ]
         for backend in old:
             self._forget(backend)
+            self.changes.begin_at(backend.revision)
         return len(old)
 
+    def _changed(self, name: str, service: str, revision: int) -> None:
+        self._candidates.pop(service, None)
+        self.changes.note(name, revision)
+
     def _of_service(self, service: str) -> Iterable[ForwardingBackend]:
         members = self._by_service.get(service)
         return members.values() if members else ()
--- a/sloepond/core/forwarding/counters.py
+++ b/sloepond/core/forwarding/counters.py
@@ -31,6 +31,8 @@
     behind_peers: int = 0
     store_reads: int = 0
     store_watches: int = 0
+    store_probes: int = 0
+    role_changes: int = 0
     store_failures: int = 0
     configurations_taken: int = 0
     backend_changes: int = 0
--- /dev/null
+++ b/sloepond/core/forwarding/dissemination.py
@@ -0,0 +1,348 @@
+"""Keeps a balancer up to date: as a reader of the store, or by what readers confirm."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from sloepond.core.forwarding.counters import ForwardingCounters
+from sloepond.core.forwarding.events import Command, LogKind, ProbeStore, SendToPeer, Subject, WriteLog
+from sloepond.core.forwarding.follower import Follower
+from sloepond.core.forwarding.news import News
+from sloepond.core.forwarding.peer_messages import (
+    Changes,
+    ChangesAsked,
+    ChangesTold,
+    Confirmation,
+    ConfirmationsAsked,
+    KnownBackend,
+    PeerMessage,
+)
+from sloepond.core.forwarding.peers import PeerTable
+from sloepond.core.forwarding.readers import FRESH_S, ReaderElection, Role
+from sloepond.core.forwarding.store_contact import StoreContact
+
+PULL_AFTER_S = 0.9
+"""Age of what is known at which a balancer asks peers for the last confirmations."""
+PULL_INTERVAL_S = 0.25
+"""Time until it asks others."""
+NEWS_DELAY_S = 0.02
+"""How long a reader gathers changes before it tells them."""
+CATCH_UP_S = (0.1, 0.3, 0.5)
+"""Waits of a balancer that knows less than a peer: before it asks that peer, before it
+asks others, before it reads the store."""
+READ_SPREAD_S = 0.5
+"""Reads of the store by many for the same reason are spread over this time."""
+HEARS_PEERS_S = 2.0
+"""Silence of all peers after which a balancer takes itself to be cut off."""
+NEVER = float("inf")
+
+
+class CatchUp(msgspec.Struct):
+    """Something a peer knows and this balancer does not.
+
+    :ivar peer: who knows it.
+    :ivar step: how many of the waits are over.
+    """
+
+    peer: str
+    due: float
+    step: int = 0
+
+
+class HeardConfirmation(msgspec.Struct, frozen=True):
+    """The last confirmation of a reader and when it was heard."""
+
+    message: Confirmation
+    at: float
+
+
+class Dissemination:
+    """Elects readers, sends and takes confirmations, catches up.
+
+    :param followers: what is asked of the store itself.
+    """
+
+    def __init__(
+        self,
+        election: ReaderElection,
+        followers: dict[Subject, Follower],
+        news: News,
+        peers: PeerTable,
+        counters: ForwardingCounters,
+        random_source: random.Random,
+    ) -> None:
+        self.election = election
+        self._followers = followers
+        self._news = news
+        self._peers = peers
+        self._counters = counters
+        self._random = random_source
+        self._contact = StoreContact()
+        self._commands: list[Command] = []
+        self._number = 0
+        self._confirm_at = NEVER
+        self._pull_at = NEVER
+        self._heard: dict[int, HeardConfirmation] = {}
+        self._confirmed_at = dict.fromkeys(Subject, -NEVER)
+        self._told = dict.fromkeys(Subject, 0)
+        self._catching_up: dict[Subject, CatchUp] = {}
+        self._changed: list[KnownBackend] = []
+        self._heard_peer_at = -NEVER
+
+    def start(self, now: float) -> None:
+        """Begin as a listener."""
+        self.election.start(now)
+        self._pull_at = now
+
+    def take_commands(self) -> list[Command]:
+        """Return what is to be done, and forget it."""
+        commands, self._commands = self._commands, []
+        return commands
+
+    def take_changed(self) -> list[KnownBackend]:
+        """Return back ends that peers have told of newly, and forget them."""
+        changed, self._changed = self._changed, []
+        return changed
+
+    def age(self, subject: Subject, now: float) -> float:
+        """Return seconds since what is known of a subject was last confirmed."""
+        return now - max(self._confirmed_at[subject], self._followers[subject].confirmed_at)
+
+    def next_deadline(self) -> float:
+        """Return when `on_time` has something to do."""
+        catch_up = min((waiting.due for waiting in self._catching_up.values()), default=NEVER)
+        return min(
+            self.election.next_deadline(),
+            self._contact.next_deadline(),
+            self._confirm_at,
+            self._pull_at,
+            catch_up,
+        )
+
+    def on_time(self, now: float) -> None:
+        """Do what is due."""
+        self._review_role(now)
+        if self._contact.on_time(now):
+            self._commands.append(ProbeStore())
+        if now >= self._confirm_at:
+            self._confirm(now)
+        if now >= self._pull_at:
+            self._pull(now)
+        for subject, waiting in list(self._catching_up.items()):
+            if now >= waiting.due:
+                self._catch_up(subject, waiting, now)
+
+    def news_taken(self, now: float) -> None:
+        """Note that something new is known: a reader tells it soon."""
+        if self.election.is_reader:
+            self._confirm_at = min(self._confirm_at, now + NEWS_DELAY_S)
+
+    def routes_read(self, now: float) -> None:
+        """Note that the store has brought a newer version of the routes."""
+        self._news.routes_taken(now)
+        self.news_taken(now)
+
+    def store_answered(self, now: float) -> None:
+        """Note an answer of the store to any call: a reader confirms upon each."""
+        self._contact.answered(now)
+        self.election.store_answered()
+        if self.election.is_reader:
+            self._confirm_at = min(self._confirm_at, now + NEWS_DELAY_S)
+
+    def store_failed(self, now: float) -> None:
+        """Note a call to the store that brought nothing."""
+        self.election.store_failed(now)
+
+    def probe_ended(self, is_answered: bool, now: float) -> None:
+        """Take the end of a probe; one that failed means that the watches may hang."""
+        self._contact.probe_ended(now)
+        if is_answered:
+            self.store_answered(now)
+            return
+        self.store_failed(now)
+        if self.election.is_reader:
+            for follower in self._followers.values():
+                follower.distrust(now)
+
+    def confirmation_received(self, ip: str, message: Confirmation, now: float) -> None:
+        """Take a confirmation or a claim, and pass a new one on."""
+        self._heard_peer_at = now
+        is_new = self.election.heard(message.reader, message.rank, message.number, message.is_claim, now)
+        if not is_new:
+            return
+        if self.election.is_among_best(message.reader, now) or self._brings_news(message.changes):
+            self._send(self._peers.choose_near(now), message)
+        if not message.is_claim:
+            self._heard[message.reader] = HeardConfirmation(message, now)
+            self._take(ip, message.changes, message.age_s, now)
+
+    def _brings_news(self, changes: Changes) -> bool:
+        newest = min(changes.changed_at, changes.revision)
+        return changes.routes_version > self._known(Subject.ROUTES) or newest > self._known(Subject.BACKENDS)
+
+    def confirmations_asked(self, ip: str, now: float) -> None:
+        """Tell a peer the last confirmations heard, with their age."""
+        self._heard_peer_at = now
+        for heard in self._heard.values():
+            age_s = heard.message.age_s + now - heard.at
+            if age_s < FRESH_S:
+                self._send([ip], msgspec.structs.replace(heard.message, age_s=age_s))
+
+    def changes_asked(self, ip: str, message: ChangesAsked, now: float) -> None:
+        """Answer a peer that lacks changes."""
+        self._heard_peer_at = now
+        own = self._followers[Subject.BACKENDS].revision
+        for changes in self._news.answer(message.routes_version, message.revision, own, now):
+            self._send([ip], ChangesTold(changes))
+
+    def changes_told(self, ip: str, message: ChangesTold, now: float) -> None:
+        """Take the answer of a peer."""
+        self._heard_peer_at = now
+        changes = message.changes
+        self._take(ip, changes, NEVER, now)
+        if changes.route_delta is None and self._is_behind(Subject.ROUTES):
+            due = now + READ_SPREAD_S * self._random.random()
+            self._followers[Subject.ROUTES].distrust(due)
+
+    def peer_heard(self, ip: str, routes_version: int, changed_at: int, now: float) -> None:
+        """Compare what a peer says it knows."""
+        self._heard_peer_at = now
+        self._compare(ip, Changes(routes_version, None, 0, changed_at, changed_at), now)
+
+    def forget(self, now: float) -> None:
+        """Forget readers that are gone."""
+        self.election.forget_silent(now)
+        old = [reader for reader, heard in self._heard.items() if now - heard.at > FRESH_S]
+        for reader in old:
+            del self._heard[reader]
+
+    def _review_role(self, now: float) -> None:
+        before = self.election.role
+        is_fresh = all(self.age(subject, now) < FRESH_S for subject in Subject)
+        hears_peers = now - self._heard_peer_at < HEARS_PEERS_S
+        self.election.on_time(now, is_fresh, hears_peers)
+        role = self.election.role
+        if role is before:
+            return
+        self._counters.role_changes += 1
+        detail = (
+            f"heard={self.election.readers_heard(now)} fresh={is_fresh} failing={self.election.is_failing}"
+        )
+        self._commands.append(WriteLog(LogKind.ROLE_CHANGED, role.value, detail))
+        if role is Role.CLAIMANT:
+            self._claim(now)
+        elif role is Role.READER:
+            self._begin_reading(now)
+        elif before is Role.READER:
+            self._end_reading()
+
+    def _claim(self, now: float) -> None:
+        changes = Changes(0, None, 0, 0, 0)
+        self._send(self._peers.choose(now), self._message(True, 0.0, changes))
+
+    def _begin_reading(self, now: float) -> None:
+        self._contact.begin(now)
+        for follower in self._followers.values():
+            follower.begin_watching(now)
+
+    def _end_reading(self) -> None:
+        self._confirm_at = NEVER
+        self._contact.end()
+        for follower in self._followers.values():
+            follower.end_watching()
+
+    def _confirm(self, now: float) -> None:
+        """Tell peers what is known here, if the store answers and all of it was read."""
+        is_sound = not self.election.is_failing and all(f.is_sound for f in self._followers.values())
+        self._confirm_at = NEVER
+        if not self.election.is_reader or not is_sound:
+            return
+        age_s = max(0.0, now - self._contact.answered_at)
+        self._confirmed_at = dict.fromkeys(Subject, now - age_s)
+        revision = self._followers[Subject.BACKENDS].revision
+        for changes in self._news.confirmed_changes(revision, now):
+            message = self._message(False, age_s, changes)
+            self._heard[message.reader] = HeardConfirmation(message, now)
+            self._send(self._peers.choose_near(now), message)
+
+    def _pull(self, now: float) -> None:
+        """Ask peers for the last confirmations if none has come for long."""
+        age_s = min(NEVER, max(self.age(subject, now) for subject in Subject))
+        if self.election.is_reader or age_s < PULL_AFTER_S:
+            self._pull_at = now + max(PULL_AFTER_S - age_s, PULL_INTERVAL_S)
+            return
+        self._pull_at = now + PULL_INTERVAL_S
+        self._send(self._peers.choose(now), ConfirmationsAsked())
+
+    def _message(self, is_claim: bool, age_s: float, changes: Changes) -> Confirmation:
+        self._number += 1
+        identity, rank = self.election.identity, self.election.rank
+        return Confirmation(identity, rank, self._number, is_claim, age_s, changes)
+
+    def _take(self, ip: str, changes: Changes, age_s: float, now: float) -> None:
+        follower = self._followers[Subject.BACKENDS]
+        self._take_routes(ip, changes, now)
+        changed = self._news.take_backends(changes, now)
+        self._changed.extend(changed)
+        revision = self._news.advanced(changes, follower.revision)
+        if revision > follower.revision:
+            follower.informed(revision, now)
+        if changed:
+            self.news_taken(now)
+        self._compare(ip, changes, now)
+        for subject in Subject:
+            if not self._is_behind(subject):
+                self._confirmed_at[subject] = max(self._confirmed_at[subject], now - age_s)
+
+    def _take_routes(self, ip: str, changes: Changes, now: float) -> None:
+        if not self._news.take_routes(changes, now):
+            return
+        self._followers[Subject.ROUTES].informed(0, now)
+        self._counters.configurations_taken += 1
+        detail = f"from={ip} version={changes.routes_version}"
+        self._commands.append(WriteLog(LogKind.ROUTES_IN_FORCE, str(changes.routes_version), detail))
+        self.news_taken(now)
+
+    def _compare(self, ip: str, changes: Changes, now: float) -> None:
+        """Note what a peer knows and this balancer does not, if it is so."""
+        told = self._told
+        told[Subject.ROUTES] = max(told[Subject.ROUTES], changes.routes_version)
+        told[Subject.BACKENDS] = max(told[Subject.BACKENDS], min(changes.changed_at, changes.revision))
+        for subject in Subject:
+            if self._is_behind(subject) and subject not in self._catching_up:
+                self._catching_up[subject] = CatchUp(ip, now + CATCH_UP_S[0])
+
+    def _is_behind(self, subject: Subject) -> bool:
+        return self._told[subject] > self._known(subject)
+
+    def _known(self, subject: Subject) -> int:
+        if subject is Subject.ROUTES:
+            return self._news.routes_version
+        return self._followers[subject].revision
+
+    def _catch_up(self, subject: Subject, waiting: CatchUp, now: float) -> None:
+        """Ask for what a peer knows, unless it has come meanwhile."""
+        if not self._is_behind(subject):
+            del self._catching_up[subject]
+            return
+        waiting.step += 1
+        if waiting.step >= len(CATCH_UP_S):
+            del self._catching_up[subject]
+            self._read_behind(subject, now)
+            return
+        waiting.due = now + CATCH_UP_S[waiting.step]
+        asked = [waiting.peer] if waiting.step == 1 else self._peers.choose(now)
+        known = (self._known(each) for each in (Subject.ROUTES, Subject.BACKENDS))
+        self._send(asked, ChangesAsked(*known))
+
+    def _read_behind(self, subject: Subject, now: float) -> None:
+        self._counters.behind_peers += 1
+        self._followers[subject].distrust(now)
+        detail = f"told={self._told[subject]} known={self._known(subject)}"
+        self._commands.append(WriteLog(LogKind.BEHIND_PEER, subject.name.lower(), detail))
+
+    def _send(self, ips: list[str], message: PeerMessage) -> None:
+        self._counters.peer_messages_sent += len(ips)
+        self._commands.extend(SendToPeer(ip, message) for ip in ips)
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -80,6 +80,15 @@
     was_watch: bool
 
 
+class StoreProbed(msgspec.Struct, frozen=True):
+    """A call that only asks whether the store answers has ended.
+
+    :ivar failure: why there was no answer, None where there was one.
+    """
+
+    failure: StoreFailure | None
+
+
 class TimerFired(msgspec.Struct, frozen=True):
     """The time asked for by `next_deadline` has come (or later)."""
 
@@ -133,6 +142,7 @@
 StoreEvent = RoutesRead | BackendsRead | RoutesChanged | BackendsChanged | StoreCallFailed
 Event = (
     StoreEvent
+    | StoreProbed
     | PeerMessageReceived
     | KnowledgeReceived
     | OpeningHeld
@@ -165,6 +175,10 @@
     wait_s: float
 
 
+class ProbeStore(msgspec.Struct, frozen=True):
+    """Ask the store for next to nothing, to know whether it answers."""
+
+
 class SendToPeer(msgspec.Struct, frozen=True):
     """Send a datagram to another balancer."""
 
@@ -208,6 +222,7 @@
     TOKEN_FOUND = "token_found"
     BEHIND_PEER = "behind_peer"
     KNOWLEDGE_TAKEN = "knowledge_taken"
+    ROLE_CHANGED = "role_changed"
     SETTINGS_CHANGED = "settings_changed"
 
 
@@ -223,4 +238,13 @@
     detail: str = ""
 
 
-Command = ReadSubject | WatchSubject | SendToPeer | FetchKnowledge | ForwardHeld | CompleteStop | WriteLog
+Command = (
+    ReadSubject
+    | WatchSubject
+    | ProbeStore
+    | SendToPeer
+    | FetchKnowledge
+    | ForwardHeld
+    | CompleteStop
+    | WriteLog
+)
--- a/sloepond/core/forwarding/follower.py
+++ b/sloepond/core/forwarding/follower.py
@@ -1,7 +1,9 @@
 """Follows one subject in the store: read it all, then watch for changes.
 
-A watch that waits proves nothing about what came before it, so each watch that does
-not end as it should is followed by a read, and by one more read a little later.
+Only a reader watches and confirms; a listener reads when it has to, and learns of
+changes from the readers.  A watch that waits proves nothing about what came before it,
+so each watch that does not end as it should is followed by a read, and by one more read
+a little later.
 """
 
 from __future__ import annotations
@@ -37,6 +39,7 @@
 
     At most one read and one watch are under way at a time.
 
+    :ivar is_watcher: whether changes are watched for and reads repeated.
     :ivar confirmed_at: when the last read of everything was answered.
     :ivar heard_at: when the store last answered any call.
     :ivar failures: calls in a row that brought nothing.
@@ -55,10 +58,26 @@
         self._confirm_at = -NEVER
         self._was_broken = False
         self._watch_started_at = -NEVER
+        self.is_watcher = False
         self.confirmed_at = -NEVER
         self.heard_at = -NEVER
         self.failures = 0
 
+    @property
+    def has_answered(self) -> bool:
+        """Whether the store has answered, ever."""
+        return self.heard_at > -NEVER
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether a watch follows upon a read, and the last call was answered."""
+        return self.is_watcher and self._is_trusted and not self.failures
+
+    @property
+    def is_reading_stale(self) -> bool:
+        """Whether the read under way may bring what is some seconds old."""
+        return self._is_reading_stale
+
     @property
     def revision(self) -> int:
         """The store's revision up to which changes are known."""
@@ -67,9 +86,36 @@
     def next_deadline(self) -> float:
         """Return when `on_time` has something to do."""
         read_at = NEVER if self._is_reading else max(self._confirm_at, self._next_call)
-        watch_at = self._next_call if self._is_trusted and not self._is_watching else NEVER
+        watch_at = self._next_call if self._may_watch else NEVER
         return min(read_at, watch_at)
 
+    @property
+    def _may_watch(self) -> bool:
+        return self.is_watcher and self._is_trusted and not self._is_watching
+
+    def begin_watching(self, now: float) -> None:
+        """Read everything, then watch."""
+        self.is_watcher = True
+        self._is_trusted = False
+        self._may_begin_stale = False
+        self._was_broken = False
+        self._confirm_at = now
+        self._next_call = now
+
+    def end_watching(self) -> None:
+        """Watch no longer; a watch under way is the last."""
+        self.is_watcher = False
+        self._confirm_at = NEVER
+        self.failures = 0
+
+    def informed(self, revision: int, now: float) -> None:
+        """Note that a peer has told all changes up to a revision."""
+        self._revision = max(self._revision, revision)
+        self.heard_at = now
+        if not self.is_watcher:
+            self._confirm_at = NEVER
+            self.failures = 0
+
     def on_time(self, now: float) -> list[StoreCall]:
         """Return the calls that are due."""
         calls: list[StoreCall] = []
@@ -79,7 +125,7 @@
             self._is_reading = True
             self._is_reading_stale = self._may_begin_stale
             calls.append(ReadSubject(self._subject, self._is_reading_stale))
-        if self._is_trusted and not self._is_watching:
+        if self._may_watch:
             self._is_watching = True
             self._watch_started_at = now
             calls.append(WatchSubject(self._subject, self._revision, WATCH_WAIT_S))
@@ -100,6 +146,8 @@
             self.confirmed_at = now
 
     def _confirm_interval(self) -> float:
+        if not self.is_watcher:
+            return NEVER
         drawn = self._random.random()
         if self._is_reading_stale:
             return CONFIRM_STALE_S * (1.0 + drawn)
@@ -121,6 +169,9 @@
             self._is_watching = False
         else:
             self._is_reading = False
+        if not self.is_watcher and self.has_answered:
+            self._confirm_at = NEVER
+            return
         wait_s = RETRY_S[min(self.failures, len(RETRY_S) - 1)]
         if reason is StoreFailure.THROTTLED:
             wait_s = max(wait_s, THROTTLED_RETRY_S)
--- a/sloepond/core/forwarding/forwarder.py
+++ b/sloepond/core/forwarding/forwarder.py
@@ -13,7 +13,8 @@
 from sloepond.core.forwarding.counters import ForwardingCounters
 from sloepond.core.forwarding.flow_observer import FlowObserver
 from sloepond.core.forwarding.packets import Refusal, Segment
-from sloepond.core.forwarding.routes import Route, RouteTable
+from sloepond.core.forwarding.route_table import RouteTable
+from sloepond.core.forwarding.routes import Route
 from sloepond.core.forwarding.selection import SILENCE_S, Selector
 
 LAST_RESORT_S = 2.0
--- /dev/null
+++ b/sloepond/core/forwarding/news.py
@@ -0,0 +1,127 @@
+"""What changes in the store, told from balancer to balancer.
+
+Readers of the store confirm several times over what they know; each confirmation is
+passed on by every balancer once, to a few random peers, so all hear it within a few
+steps whatever the size of the fleet.  It holds what has changed lately.  Who has missed
+more than that asks the peer it heard from, then another one, then the store.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterator
+
+import msgspec
+
+from sloepond.core.forwarding.backends import BackendDirectory
+from sloepond.core.forwarding.peer_messages import Changes, KnownBackend
+from sloepond.core.forwarding.route_delta import RouteDelta
+from sloepond.core.forwarding.route_table import RouteTable
+
+MAXIMUM_BACKENDS = 12
+"""Back ends in one message, so that it fits a datagram."""
+MAXIMUM_MESSAGES = 8
+"""Messages that answer one question; who lacks more reads the whole list."""
+REPEAT_S = 2.2
+"""How long a change is repeated in confirmations, against lost datagrams."""
+
+
+class SentRevision(msgspec.Struct, frozen=True):
+    """A revision and when it was confirmed."""
+
+    revision: int
+    at: float
+
+
+class News:
+    """Builds and takes messages about changes."""
+
+    def __init__(self, routes: RouteTable, backends: BackendDirectory) -> None:
+        self._routes = routes
+        self._backends = backends
+        self._sent: collections.deque[SentRevision] = collections.deque()
+        self._routes_taken_at = 0.0
+
+    @property
+    def routes_version(self) -> int:
+        """Version of the routes in force."""
+        return self._routes.version
+
+    def routes_taken(self, now: float) -> None:
+        """Note that a version of the routes has come into force."""
+        self._routes_taken_at = now
+
+    def confirmed_changes(self, revision: int, now: float) -> tuple[Changes, ...]:
+        """Return what a reader confirms now: changes of the last moments, in parts.
+
+        :param revision: the store's revision up to which the reader knows all.
+        """
+        base = self._repeated_from(revision, now)
+        delta = None
+        if now - self._routes_taken_at < REPEAT_S:
+            delta = self._routes.history.latest_to(self._routes.version)
+        parts = tuple(self._parts(base, revision, now))
+        if not parts:
+            parts = (Changes(self._routes.version, None, revision, revision, self._backends.changes.latest),)
+        return (msgspec.structs.replace(parts[0], route_delta=delta), *parts[1:])
+
+    def answer(self, routes_version: int, revision: int, own_revision: int, now: float) -> list[Changes]:
+        """Return what a peer lacks, empty where it would be too much.
+
+        :param own_revision: revision up to which this balancer knows all.
+        """
+        answers: list[Changes] = []
+        if revision < own_revision:
+            parts = list(self._parts(revision, own_revision, now))
+            answers.extend(parts if len(parts) <= MAXIMUM_MESSAGES else ())
+        deltas = self._routes.history.chain(routes_version, self._routes.version)
+        if len(deltas) <= MAXIMUM_MESSAGES:
+            answers.extend(self._about_routes(delta, own_revision) for delta in deltas)
+        if not deltas and routes_version < self._routes.version:
+            answers.append(self._about_routes(None, own_revision))
+        return answers
+
+    def take_routes(self, changes: Changes, now: float) -> bool:
+        """Take a difference of the routes if it applies; return whether it did."""
+        if changes.route_delta is None or not self._routes.take_delta(changes.route_delta):
+            return False
+        self.routes_taken(now)
+        return True
+
+    def take_backends(self, changes: Changes, now: float) -> list[KnownBackend]:
+        """Take changed back ends; return those that were news."""
+        return [
+            known for known in changes.backends if self._backends.take(known.record, known.departed_s, now)
+        ]
+
+    def advanced(self, changes: Changes, revision: int) -> int:
+        """Return the revision up to which all is known after changes were taken."""
+        knows_base = revision >= changes.base_revision or revision >= changes.changed_at
+        return max(revision, changes.revision) if knows_base else revision
+
+    def _repeated_from(self, revision: int, now: float) -> int:
+        """Return the revision confirmed a moment ago, from which changes are repeated."""
+        sent = self._sent
+        sent.append(SentRevision(revision, now))
+        while len(sent) > 1 and now - sent[1].at >= REPEAT_S:
+            sent.popleft()
+        return min(sent[0].revision, revision)
+
+    def _parts(self, base: int, revision: int, now: float) -> Iterator[Changes]:
+        """Return all changes between two revisions, in parts that follow each other."""
+        names = self._backends.changes.since(base)
+        if names is None:
+            return
+        known = [backend for name in names if (backend := self._backends.by_name(name)) is not None]
+        known.sort(key=lambda backend: backend.revision)
+        latest = self._backends.changes.latest
+        for begin in range(0, max(1, len(known)), MAXIMUM_BACKENDS):
+            part = known[begin : begin + MAXIMUM_BACKENDS]
+            rest = known[begin + MAXIMUM_BACKENDS :]
+            end = max(base, min(revision, rest[0].revision - 1)) if rest else revision
+            told = tuple(KnownBackend(backend.record(now), backend.departed_s(now)) for backend in part)
+            yield Changes(self._routes.version, None, base, end, latest, told)
+            base = end
+
+    def _about_routes(self, delta: RouteDelta | None, revision: int) -> Changes:
+        return Changes(self._routes.version, delta, revision, revision, self._backends.changes.latest)
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -10,6 +10,7 @@
 
 from sloepond.core.forwarding.backends import BackendDirectory, BackendRecord, Decision
 from sloepond.core.forwarding.counters import ForwardingCounters
+from sloepond.core.forwarding.dissemination import Dissemination
 from sloepond.core.forwarding.events import (
     BackendsChanged,
     BackendsRead,
@@ -26,6 +27,8 @@
     SettingsChanged,
     StopRequested,
     StoreCallFailed,
+    StoreEvent,
+    StoreProbed,
     Subject,
     TimerFired,
     UnknownTokenMet,
@@ -33,15 +36,19 @@
 )
 from sloepond.core.forwarding.follower import NEVER, Follower
 from sloepond.core.forwarding.forwarder import Forwarder
+from sloepond.core.forwarding.news import News
 from sloepond.core.forwarding.packets import Segment
 from sloepond.core.forwarding.peer_exchange import PeerExchange
 from sloepond.core.forwarding.peer_messages import Knowledge
 from sloepond.core.forwarding.peers import PeerTable
 from sloepond.core.forwarding.places import ANYWHERE, PlaceRules
-from sloepond.core.forwarding.routes import RouteConfiguration, RouteTable
+from sloepond.core.forwarding.readers import ReaderElection, Role
+from sloepond.core.forwarding.route_table import RouteTable
+from sloepond.core.forwarding.routes import RouteConfiguration
 
 STOP_FORWARD_S = 1.8
 """How long a stopping balancer forwards on, so that routers notice it is not ready."""
+IDENTITY_BITS = 63
 HOUSEKEEPING_S = 0.5
 """Time between looks for what can be forgotten."""
 STALL_S = 0.6
@@ -58,6 +65,7 @@
     :param ip: address at which peers reach this balancer.
     :param seeds: addresses of balancers that may be up.
     :param places: where flows may go.
+    :param capacity: share of a core it may use.
     """
 
     def __init__(
@@ -67,6 +75,7 @@
         ip: str = "",
         seeds: tuple[str, ...] = (),
         places: PlaceRules = ANYWHERE,
+        capacity: float = 1.0,
     ) -> None:
         self.counters = ForwardingCounters()
         self.routes = RouteTable(random_source)
@@ -76,11 +85,22 @@
             Subject.ROUTES: Follower(Subject.ROUTES, random_source),
             Subject.BACKENDS: Follower(Subject.BACKENDS, random_source),
         }
+        peers = PeerTable(ip, zone, seeds, random_source)
+        self._dissemination = Dissemination(
+            ReaderElection(random_source.getrandbits(IDENTITY_BITS), capacity, random_source),
+            self._followers,
+            News(self.routes, self.backends),
+            peers,
+            self.counters,
+            random_source,
+        )
         self._exchange = PeerExchange(
-            PeerTable(ip, seeds, random_source),
+            zone,
+            peers,
             self.routes,
             self.backends,
             self._followers,
+            self._dissemination,
             self.counters,
             random_source,
         )
@@ -103,18 +123,23 @@
         """Whether routers should send packets here."""
         return self.is_configured and not self.is_stopping
 
+    @property
+    def role(self) -> Role:
+        """What this balancer does about the store."""
+        return self._dissemination.election.role
+
     @property
     def flows_observed(self) -> int:
         """Flows seen lately."""
         return len(self._forwarder.observer)
 
     def routes_age(self, now: float) -> float:
-        """Return seconds since the routes were last read or a watch of them answered."""
-        return now - self._followers[Subject.ROUTES].heard_at
+        """Return seconds since the store or a reader of it confirmed the routes."""
+        return self._dissemination.age(Subject.ROUTES, now)
 
     def backends_age(self, now: float) -> float:
-        """Return seconds since the back ends were last read or a watch of them answered."""
-        return now - self._followers[Subject.BACKENDS].heard_at
+        """Return seconds since the store or a reader of it confirmed the back ends."""
+        return self._dissemination.age(Subject.BACKENDS, now)
 
     def knowledge(self, now: float) -> str:
         """Return versions and ages of what is known, for a log line."""
@@ -130,6 +155,7 @@
         self._housekeeping_at = now + HOUSEKEEPING_S
         self._forwarder.admission.start(now)
         self._exchange.start(now)
+        self._dissemination.start(now)
         self._ask_store()
         return self._finish()
 
@@ -162,6 +188,8 @@
             self._exchange.seeds_changed(event.seeds)
         elif isinstance(event, OpeningHeld):
             self._forwarder.hold(event.segment, event.datagram, now)
+        elif isinstance(event, StoreProbed):
+            self._dissemination.probe_ended(event.failure is None, now)
         else:
             self._store_answered(event)
         self._ask_store()
@@ -172,12 +200,15 @@
         return self._deadline
 
     def _finish(self) -> list[Command]:
+        self._log_told()
         self._commands.extend(self._exchange.take_commands())
+        self._commands.extend(self._dissemination.take_commands())
         deadline = min(
             self._housekeeping_at,
             self._stop_at,
             self._trust_again_at,
             self._exchange.next_deadline(),
+            self._dissemination.next_deadline(),
             self._forwarder.admission.next_deadline(self._now),
         )
         for follower in self._followers.values():
@@ -191,9 +222,7 @@
         for follower in self._followers.values():
             self._commands.extend(follower.on_time(self._now))
 
-    def _store_answered(
-        self, event: RoutesRead | BackendsRead | RoutesChanged | BackendsChanged | StoreCallFailed
-    ) -> None:
+    def _store_answered(self, event: StoreEvent) -> None:
         if isinstance(event, StoreCallFailed):
             self._store_failed(event)
             return
@@ -209,11 +238,13 @@
                 self._take_routes(configuration)
             follower.watched(event.revision, self._now)
         elif isinstance(event, BackendsRead):
-            self._take_list(event)
-            follower.read(event.revision, self._now)
+            revision = _sure_revision(event, follower)
+            self._take_list(event, revision)
+            follower.read(revision, self._now)
         else:
             self._take_changes(event)
             follower.watched(event.revision, self._now)
+        self._dissemination.store_answered(self._now)
         self._update_trust()
 
     def _store_failed(self, event: StoreCallFailed) -> None:
@@ -222,23 +253,27 @@
         if not follower.failures:
             self._log(LogKind.STORE_LOST, event.subject.name.lower(), f"reason={event.reason.value}")
         follower.failed(event.reason, event.was_watch, self._now)
+        self._dissemination.store_failed(self._now)
 
     def _take_routes(self, configuration: RouteConfiguration | None) -> None:
         if configuration is None or not self.routes.take(configuration):
             return
         self.counters.configurations_taken += 1
-        self._exchange.hurry_heartbeat(self._now)
+        self._dissemination.routes_read(self._now)
         self._log(LogKind.ROUTES_IN_FORCE, str(configuration.version), f"routes={len(configuration.routes)}")
 
-    def _take_list(self, event: BackendsRead) -> None:
-        changed = self.backends.listed(event.records, event.revision, self._now)
+    def _take_list(self, event: BackendsRead, revision: int) -> None:
+        is_first = not len(self.backends)
+        changed = self.backends.listed(event.records, revision, self._now)
+        if is_first:
+            self.backends.changes.begin_at(revision)
         self.counters.backend_changes += changed
         if changed:
-            self._backends_changed(event.revision)
+            self._dissemination.news_taken(self._now)
             self._log(
                 LogKind.BACKEND_CHANGED,
                 "list",
-                f"changed={changed} listed={len(event.records)} rev={event.revision}",
+                f"changed={changed} listed={len(event.records)} rev={revision}",
             )
 
     def _take_changes(self, event: BackendsChanged) -> None:
@@ -251,12 +286,16 @@
                 state = "departed"
             if changed:
                 self.counters.backend_changes += 1
-                self._backends_changed(change.revision)
+                self._dissemination.news_taken(self._now)
                 self._log(LogKind.BACKEND_CHANGED, change.name, f"state={state} rev={change.revision}")
 
-    def _backends_changed(self, revision: int) -> None:
-        self._exchange.backends_changed_at_revision = revision
-        self._exchange.hurry_heartbeat(self._now)
+    def _log_told(self) -> None:
+        """Write a line for each back end that peers have told of newly."""
+        for known in self._dissemination.take_changed():
+            self.counters.backend_changes += 1
+            record = known.record
+            detail = f"state={record.state.name.lower()} rev={record.revision} told=peer"
+            self._log(LogKind.BACKEND_CHANGED, record.name, detail)
 
     def _on_time(self) -> None:
         if self._now >= self._stop_at:
@@ -265,6 +304,7 @@
         if self._now >= self._trust_again_at:
             self._trust()
         self._exchange.on_time(self._now)
+        self._dissemination.on_time(self._now)
         released = self._forwarder.release(self._now)
         if released:
             self._commands.append(ForwardHeld(tuple(released)))
@@ -275,6 +315,7 @@
             self._forwarder.observer.expire_requests(self._now)
             self._forwarder.admission.forget_admitted(self._now)
             self._forwarder.admission.balancers = self._exchange.balancers
+            self._dissemination.forget(self._now)
 
     def _notice_stall(self, now: float) -> None:
         """Place no flow until what is known has been confirmed, for a while at most."""
@@ -309,3 +350,13 @@
 
     def _log(self, kind: LogKind, subject: str, detail: str) -> None:
         self._commands.append(WriteLog(kind, subject, detail))
+
+
+def _sure_revision(event: BackendsRead, follower: Follower) -> int:
+    """Return the revision up to which a list surely holds all changes.
+
+    One that may be stale holds at least the changes it shows.
+    """
+    if not follower.is_reading_stale:
+        return event.revision
+    return max((record.revision for record in event.records), default=0)
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -6,6 +6,7 @@
 
 from sloepond.core.forwarding.backends import BackendDirectory
 from sloepond.core.forwarding.counters import ForwardingCounters
+from sloepond.core.forwarding.dissemination import Dissemination
 from sloepond.core.forwarding.events import (
     Command,
     FetchKnowledge,
@@ -20,14 +21,18 @@
 )
 from sloepond.core.forwarding.follower import Follower
 from sloepond.core.forwarding.peer_messages import (
+    ChangesAsked,
+    ChangesTold,
+    Confirmation,
+    ConfirmationsAsked,
     Heartbeat,
     Knowledge,
     KnownBackend,
     TokenAsked,
     TokenFound,
 )
-from sloepond.core.forwarding.peers import BEHIND_S, HEARTBEAT_INTERVAL_S, NEVER, PeerTable
-from sloepond.core.forwarding.routes import RouteTable
+from sloepond.core.forwarding.peers import HEARTBEAT_INTERVAL_S, NEVER, SHARED_PEERS, PeerTable
+from sloepond.core.forwarding.route_table import RouteTable
 from sloepond.core.forwarding.token_lookup import HOLD_S, TokenLookup
 
 ASK_PEERS_AFTER_S = 0.3
@@ -39,19 +44,24 @@
 class PeerExchange:
     """Takes what peers say and decides what they are told.
 
-    :param followers: what is asked of the store; told to read where a peer knows more.
+    :param followers: what is asked of the store.
+    :param dissemination: takes what peers say about changes.
     """
 
     def __init__(
         self,
+        zone: str,
         peers: PeerTable,
         routes: RouteTable,
         backends: BackendDirectory,
         followers: dict[Subject, Follower],
+        dissemination: Dissemination,
         counters: ForwardingCounters,
         random_source: random.Random,
     ) -> None:
+        self._zone = zone
         self._peers = peers
+        self._dissemination = dissemination
         self._routes = routes
         self._backends = backends
         self._followers = followers
@@ -62,9 +72,6 @@
         self._heartbeat_at = NEVER
         self._expire_at = NEVER
         self._ask_at = NEVER
-        self._behind: dict[Subject, float] = {}
-        self._told = dict.fromkeys(Subject, 0)
-        self.backends_changed_at_revision = 0
         self.is_leaving = False
 
     @property
@@ -89,8 +96,7 @@
 
     def next_deadline(self) -> float:
         """Return when `on_time` has something to do."""
-        behind = min(self._behind.values(), default=NEVER)
-        return min(self._heartbeat_at, self._expire_at, self._ask_at, behind)
+        return min(self._heartbeat_at, self._expire_at, self._ask_at)
 
     def on_time(self, now: float) -> None:
         """Do what is due."""
@@ -101,9 +107,6 @@
             self._expire_at = NEVER
         if now >= self._ask_at:
             self._ask_for_knowledge(now)
-        for subject, due in list(self._behind.items()):
-            if now >= due:
-                self._read_if_behind(subject, now)
 
     def hurry_heartbeat(self, now: float) -> None:
         """Tell peers soon that more is known here than before."""
@@ -114,12 +117,29 @@
         self._counters.peer_messages_received += 1
         message = event.message
         if isinstance(message, Heartbeat):
+            if len(message.known_peers) < SHARED_PEERS and self._peers.is_new(event.ip, now):
+                self._send([event.ip], self._heartbeat(now))
             self._peers.heard(event.ip, message, now)
-            self._compare(message, now)
+            self._dissemination.peer_heard(event.ip, message.routes_version, message.backends_revision, now)
         elif isinstance(message, TokenAsked):
             self._answer_token(event.ip, message.token, now)
-        else:
+        elif isinstance(message, TokenFound):
             self._token_found(message, now)
+        else:
+            self._peers.heard_from(event.ip, now)
+            self._disseminated(event.ip, message, now)
+
+    def _disseminated(
+        self, ip: str, message: Confirmation | ChangesAsked | ChangesTold | ConfirmationsAsked, now: float
+    ) -> None:
+        if isinstance(message, ConfirmationsAsked):
+            self._dissemination.confirmations_asked(ip, now)
+        elif isinstance(message, Confirmation):
+            self._dissemination.confirmation_received(ip, message, now)
+        elif isinstance(message, ChangesAsked):
+            self._dissemination.changes_asked(ip, message, now)
+        else:
+            self._dissemination.changes_told(ip, message, now)
 
     def knowledge(self, now: float) -> Knowledge:
         """Return all that is known here."""
@@ -128,18 +148,22 @@
         )
         return Knowledge(
             self._routes.in_force,
-            now - self._followers[Subject.ROUTES].heard_at,
+            self._dissemination.age(Subject.ROUTES, now),
             backends,
-            now - self._followers[Subject.BACKENDS].heard_at,
+            self._dissemination.age(Subject.BACKENDS, now),
+            self._followers[Subject.BACKENDS].revision,
         )
 
     def knowledge_received(self, event: KnowledgeReceived, now: float) -> None:
         """Take what a peer knows where nothing newer is known here."""
         knowledge = event.knowledge
+        is_first = not len(self._backends)
         is_newer = self._routes.take(knowledge.routes)
-        added = sum(
-            self._backends.put_known(known.record, known.departed_s, now) for known in knowledge.backends
-        )
+        added = sum(self._backends.take(known.record, known.departed_s, now) for known in knowledge.backends)
+        if is_first:
+            self._backends.changes.begin_at(knowledge.revision)
+            self._followers[Subject.BACKENDS].informed(knowledge.revision, now)
+            self._followers[Subject.ROUTES].informed(0, now)
         self._counters.knowledge_taken += 1
         detail = (
             f"routes={knowledge.routes.version} newer={is_newer} routes_age_s={knowledge.routes_age_s:.2f} "
@@ -159,38 +183,17 @@
 
     def _send_heartbeats(self, now: float) -> None:
         self._heartbeat_at = now + HEARTBEAT_INTERVAL_S * (0.8 + 0.4 * self._random.random())
-        heartbeat = Heartbeat(
-            self._routes.version, self.backends_changed_at_revision, self.is_leaving, self._peers.share(now)
-        )
-        self._send(self._peers.choose(now), heartbeat)
+        self._send(self._peers.choose(now), self._heartbeat(now))
+
+    def _heartbeat(self, now: float) -> Heartbeat:
+        changed_at = self._backends.changes.latest
+        shared = self._peers.share(now)
+        return Heartbeat(self._routes.version, changed_at, self.is_leaving, shared, self._zone)
 
     def _send(self, ips: list[str], message: Heartbeat | TokenAsked | TokenFound) -> None:
         self._counters.peer_messages_sent += len(ips)
         self._commands.extend(SendToPeer(ip, message) for ip in ips)
 
-    def _compare(self, heartbeat: Heartbeat, now: float) -> None:
-        """Note what a peer knows and this balancer does not, if it is so."""
-        told = self._told
-        told[Subject.ROUTES] = max(told[Subject.ROUTES], heartbeat.routes_version)
-        told[Subject.BACKENDS] = max(told[Subject.BACKENDS], heartbeat.backends_revision)
-        for subject in Subject:
-            if self._is_behind(subject):
-                self._behind.setdefault(subject, now + BEHIND_S[subject])
-
-    def _is_behind(self, subject: Subject) -> bool:
-        if subject is Subject.ROUTES:
-            return self._told[subject] > self._routes.version
-        return self._told[subject] > self._followers[subject].revision
-
-    def _read_if_behind(self, subject: Subject, now: float) -> None:
-        del self._behind[subject]
-        if not self._is_behind(subject):
-            return
-        self._counters.behind_peers += 1
-        self._followers[subject].distrust(now)
-        detail = f"told={self._told[subject]}"
-        self._commands.append(WriteLog(LogKind.BEHIND_PEER, subject.name.lower(), detail))
-
     def _ask_for_knowledge(self, now: float) -> None:
         self._ask_at = NEVER
         if self._routes.version and len(self._backends):
--- a/sloepond/core/forwarding/peer_messages.py
+++ b/sloepond/core/forwarding/peer_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sloepond.core.forwarding.backends import BackendRecord
+from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.core.forwarding.routes import RouteConfiguration
 
 
@@ -16,12 +17,14 @@
         it has seen.
     :ivar is_leaving: whether it stops.
     :ivar known_peers: IP addresses of a few other balancers.
+    :ivar zone: zone of the sender.
     """
 
     routes_version: int
     backends_revision: int
     is_leaving: bool
     known_peers: tuple[str, ...]
+    zone: str = ""
 
 
 class TokenAsked(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -40,9 +43,6 @@
     departed_s: float
 
 
-PeerMessage = Heartbeat | TokenAsked | TokenFound
-
-
 class KnownBackend(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """A back end and how long ago it left the list."""
 
@@ -50,14 +50,75 @@
     departed_s: float
 
 
+class Changes(msgspec.Struct, frozen=True, array_like=True):
+    """What has changed in the store lately.
+
+    :ivar routes_version: version of the routes in force at the sender.
+    :ivar route_delta: what leads to that or an earlier version, if it is small.
+    :ivar base_revision: the store's revision from which `backends` holds all changes.
+    :ivar revision: revision up to which it holds them.
+    :ivar changed_at: revision of the last change of a back end known to the sender.
+    :ivar backends: changed back ends as they are now.
+    """
+
+    routes_version: int
+    route_delta: RouteDelta | None
+    base_revision: int
+    revision: int
+    changed_at: int
+    backends: tuple[KnownBackend, ...] = ()
+
+
+class Confirmation(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """A reader of the store tells all others what it knows; each passes it on once.
+
+    :ivar reader: identity of the reader's process.
+    :ivar rank: of the reader; see `ReaderElection`.
+    :ivar number: grows with each confirmation of this reader.
+    :ivar is_claim: whether the sender only claims to become a reader and confirms nothing.
+    :ivar age_s: seconds since the store last answered the reader.
+    """
+
+    reader: int
+    rank: float
+    number: int
+    is_claim: bool
+    age_s: float
+    changes: Changes
+
+
+class ChangesAsked(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """A question: what has changed since a version of the routes and a revision."""
+
+    routes_version: int
+    revision: int
+
+
+class ChangesTold(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """An answer to `ChangesAsked`, or a part of it."""
+
+    changes: Changes
+
+
+class ConfirmationsAsked(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """A question of a balancer that has heard no confirmation lately: the last ones heard."""
+
+
+PeerMessage = (
+    Heartbeat | TokenAsked | TokenFound | Confirmation | ChangesAsked | ChangesTold | ConfirmationsAsked
+)
+
+
 class Knowledge(msgspec.Struct, frozen=True, array_like=True):
     """All that a balancer knows, for one that has just started.
 
     :ivar routes_age_s: seconds since the store last answered about the routes.
     :ivar backends_age_s: the same about the back ends.
+    :ivar revision: the store's revision up to which changes of back ends are known.
     """
 
     routes: RouteConfiguration
     routes_age_s: float
     backends: tuple[KnownBackend, ...]
     backends_age_s: float
+    revision: int = 0
--- a/sloepond/core/forwarding/peers.py
+++ b/sloepond/core/forwarding/peers.py
@@ -1,7 +1,7 @@
 """Other balancers: a partial view, kept by heartbeats to a random few.
 
 Nothing is agreed on.  A heartbeat says how much its sender knows, so that one whose
-watch of the store has missed a change reads it anew; and it spreads addresses.
+knowledge has missed a change asks for it; and it spreads addresses.
 """
 
 from __future__ import annotations
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from sloepond.core.forwarding.events import Subject
 from sloepond.core.forwarding.peer_messages import Heartbeat
 
 HEARTBEAT_INTERVAL_S = 1.0
@@ -23,9 +22,11 @@
 """Addresses carried by a heartbeat."""
 SILENT_S = 5.0
 """Silence after which a peer is no longer asked."""
-BEHIND_S = {Subject.ROUTES: 0.4, Subject.BACKENDS: 1.6}
-"""How long this balancer may know less than a peer before it reads the store: its own
-watch mostly tells it first, later by as much as it gathers changes."""
+FORGOTTEN_S = 20.0
+"""Silence after which a peer is told of others when it speaks again."""
+TOLD_S = 3.0
+"""How long a peer counts as alive because another one hears it.  Only peers heard by
+oneself are told of, so one that is gone is forgotten everywhere."""
 NEVER = float("inf")
 
 
@@ -33,22 +34,28 @@
     """One other balancer.
 
     :ivar heard_at: when it was last heard, -inf for never.
+    :ivar told_at: when another peer last told that it hears it.
+    :ivar zone: its zone, empty where it is not known.
     """
 
     ip: str
     heard_at: float = -NEVER
+    told_at: float = -NEVER
     is_leaving: bool = False
+    zone: str = ""
 
 
 class PeerTable:
     """The peers known to one balancer.
 
     :param ip: address of this balancer.
+    :param zone: its zone.
     :param seeds: addresses of balancers that may be up; they are never forgotten.
     """
 
-    def __init__(self, ip: str, seeds: Iterable[str], random_source: random.Random) -> None:
+    def __init__(self, ip: str, zone: str, seeds: Iterable[str], random_source: random.Random) -> None:
         self._ip = ip
+        self._zone = zone
         self._random = random_source
         self._seeds: tuple[str, ...] = ()
         self._peers: dict[str, Peer] = {}
@@ -63,14 +70,28 @@
         for seed in self._seeds:
             self._learn(seed)
 
+    def is_new(self, ip: str, now: float) -> bool:
+        """Tell whether a peer has not been heard for long: it may know nobody."""
+        peer = self._peers.get(ip)
+        return peer is None or now - peer.heard_at > FORGOTTEN_S
+
     def heard(self, ip: str, heartbeat: Heartbeat, now: float) -> None:
         """Take a peer's heartbeat."""
         peer = self._learn(ip)
         if peer is not None:
             peer.heard_at = now
             peer.is_leaving = heartbeat.is_leaving
+            peer.zone = heartbeat.zone
         for known in heartbeat.known_peers:
-            self._learn(known)
+            told = self._learn(known)
+            if told is not None:
+                told.told_at = now
+
+    def heard_from(self, ip: str, now: float) -> None:
+        """Note that a peer has said something."""
+        peer = self._learn(ip)
+        if peer is not None:
+            peer.heard_at = now
 
     def choose(self, now: float, count: int = FANOUT) -> list[str]:
         """Return addresses of a random few that are alive as far as is known.
@@ -84,6 +105,18 @@
         chosen.extend(self._random.sample(others, min(missing, len(others))))
         return chosen
 
+    def choose_near(self, now: float) -> list[str]:
+        """Return addresses of a few living peers, most of them in the same zone.
+
+        Bytes between zones are priced; one peer from anywhere keeps the zones in touch.
+        """
+        near = [
+            peer.ip for peer in self._peers.values() if peer.zone == self._zone and self._is_alive(peer, now)
+        ]
+        chosen = self._random.sample(near, min(FANOUT - 1, len(near)))
+        others = [ip for ip in self.choose(now, FANOUT) if ip not in chosen]
+        return chosen + others[: FANOUT - len(chosen)]
+
     def share(self, now: float) -> tuple[str, ...]:
         """Return a few living peers for a heartbeat to carry."""
         alive = [peer.ip for peer in self._peers.values() if now - peer.heard_at < SILENT_S]
@@ -91,7 +124,8 @@
 
     @staticmethod
     def _is_alive(peer: Peer, now: float) -> bool:
-        return not peer.is_leaving and now - peer.heard_at < SILENT_S
+        is_known = now - peer.heard_at < SILENT_S or now - peer.told_at < TOLD_S
+        return is_known and not peer.is_leaving
 
     def _learn(self, ip: str) -> Peer | None:
         if ip == self._ip:
--- /dev/null
+++ b/sloepond/core/forwarding/route_table.py
@@ -0,0 +1,71 @@
+"""The routes in force: whole versions and differences are taken, an older one never is."""
+
+from __future__ import annotations
+
+import random
+
+from sloepond.core.forwarding.route_delta import RouteDelta, RouteHistory, difference
+from sloepond.core.forwarding.routes import Route, RouteConfiguration, WeightedTurns
+
+
+class RouteTable:
+    """The version in force; an older one never replaces it.
+
+    :ivar version: version in force, 0 for none.
+    :ivar history: the last differences, for peers that are behind.
+    """
+
+    def __init__(self, random_source: random.Random) -> None:
+        self._random = random_source
+        self._routes: dict[int, Route] = {}
+        self._turns: dict[int, WeightedTurns] = {}
+        self._idle_timeout_s = RouteConfiguration(0, ()).idle_timeout_s
+        self.version = 0
+        self.history = RouteHistory()
+
+    def __len__(self) -> int:
+        return len(self._routes)
+
+    @property
+    def in_force(self) -> RouteConfiguration:
+        """The whole version in force."""
+        return RouteConfiguration(self.version, tuple(self._routes.values()), self._idle_timeout_s)
+
+    def take(self, configuration: RouteConfiguration) -> bool:
+        """Put a version in force if it is newer; return whether it is."""
+        if configuration.version <= self.version:
+            return False
+        self._apply(difference(self.version, self._routes, configuration))
+        return True
+
+    def take_delta(self, delta: RouteDelta) -> bool:
+        """Put a version in force by its difference to the one that is; return whether it is."""
+        if delta.base != self.version or delta.version <= self.version:
+            return False
+        self._apply(delta)
+        return True
+
+    def find(self, key: int) -> Route | None:
+        """Return the route of an endpoint."""
+        return self._routes.get(key)
+
+    def turns(self, route: Route) -> WeightedTurns:
+        """Return the turns of a route's services."""
+        turns = self._turns.get(route.key)
+        if turns is None:
+            turns = WeightedTurns(route.shares, self._random)
+            self._turns[route.key] = turns
+        return turns
+
+    def _apply(self, delta: RouteDelta) -> None:
+        for key in delta.removed:
+            self._routes.pop(key, None)
+            self._turns.pop(key, None)
+        for route in delta.changed:
+            before = self._routes.get(route.key)
+            if before is None or before.shares != route.shares:
+                self._turns.pop(route.key, None)
+            self._routes[route.key] = route
+        self.version = delta.version
+        self._idle_timeout_s = delta.idle_timeout_s
+        self.history.add(delta)
--- a/sloepond/platform/balancer.py
+++ b/sloepond/platform/balancer.py
@@ -20,7 +20,9 @@
 
     :param signals: filled by signal handlers until the service takes signals itself.
     """
-    node = ForwardingNode(settings.zone, random.Random(), settings.ip, settings.seeds)
+    node = ForwardingNode(
+        settings.zone, random.Random(), settings.ip, settings.seeds, capacity=settings.capacity
+    )
     logs = LogWriter(node.counters)
     logs.write(WriteLog(LogKind.STARTED, settings.name, f"zone={settings.zone} store={settings.store}"))
     data_path = DataPath(sockets.edge, EchoPacketCodec(int(settings.edge.rpartition(":")[2])), node, logs)
--- a/sloepond/platform/settings.py
+++ b/sloepond/platform/settings.py
@@ -41,9 +41,18 @@
         metrics=f"{fields['ip']}:{METRICS_PORT}",
         peer_port=first_port,
         seeds=_seeds(fields),
+        capacity=_capacity(fields),
     )
 
 
+def _capacity(fields: dict[str, str]) -> float:
+    """Return the share of a core, 1.0 where it is not told."""
+    try:
+        return float(fields["limits.cpu_share"]) * float(fields.get("limits.cores", "1"))
+    except (KeyError, ValueError):
+        return 1.0
+
+
 def _first_port(text: str) -> int:
     first = text.partition(",")[0]
     return int(first) if first.isdigit() else 0
--- a/sloepond/platform/store.py
+++ b/sloepond/platform/store.py
@@ -33,6 +33,7 @@
 
 CONFIGURATION_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
+NOTHING_PREFIX = "op/config/"
 _UNDECODABLE = (msgspec.MsgspecError, ValueError, OSError)
 _KEY = msgspec.json.Decoder(KeyAnswer)
 _RANGE = msgspec.json.Decoder(RangeAnswer)
@@ -50,6 +51,10 @@
         after = f"&after={quote(page)}" if page else ""
         return f"/api/kv-range?path_prefix={quote(SERVERS_PREFIX)}{after}{stale}"
 
+    def probe_target(self) -> str:
+        """Return the target of a stale read of a prefix under which nothing stands."""
+        return f"/api/kv-range?path_prefix={quote(NOTHING_PREFIX)}&stale=1"
+
     def watch_target(self, command: WatchSubject) -> str:
         """Return the target of a GET that waits for changes."""
         prefix = CONFIGURATION_KEY if command.subject is Subject.ROUTES else SERVERS_PREFIX
--- a/sloepond/runtime/forwarding/drivers.py
+++ b/sloepond/runtime/forwarding/drivers.py
@@ -23,6 +23,7 @@
     :ivar peer_port: port of this and every other balancer for what they say to each
         other, 0 for none.
     :ivar seeds: IP addresses of balancers that may be up.
+    :ivar capacity: share of a core this process may use.
     """
 
     name: str
@@ -34,6 +35,7 @@
     metrics: str = ""
     peer_port: int = 0
     seeds: tuple[str, ...] = ()
+    capacity: float = 1.0
 
 
 class BoundSockets(msgspec.Struct):
@@ -101,6 +103,10 @@
     def watch_target(self, command: WatchSubject) -> str:
         """Return the target of a GET that waits for changes."""
 
+    @abc.abstractmethod
+    def probe_target(self) -> str:
+        """Return the target of a GET that brings next to nothing."""
+
     @abc.abstractmethod
     def decode_page(self, subject: Subject, body: bytes) -> ReadPage:
         """Return what a read has brought."""
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -13,6 +13,7 @@
     FetchKnowledge,
     ForwardHeld,
     LogKind,
+    ProbeStore,
     ReadSubject,
     SendToPeer,
     StopRequested,
@@ -99,12 +100,8 @@
         for command in commands:
             if isinstance(command, WriteLog):
                 self._logs.write(command)
-            elif isinstance(command, ReadSubject):
-                self._node.counters.store_reads += 1
-                self._nursery.start_soon(self._read, command)
-            elif isinstance(command, WatchSubject):
-                self._node.counters.store_watches += 1
-                self._nursery.start_soon(self._watch, command)
+            elif isinstance(command, ReadSubject | WatchSubject | ProbeStore):
+                self._nursery.start_soon(self._call_store, command)
             elif isinstance(command, SendToPeer):
                 self._peers.send(command)
             elif isinstance(command, FetchKnowledge):
@@ -115,11 +112,17 @@
             elif isinstance(command, CompleteStop):
                 self._nursery.cancel_scope.cancel()
 
-    async def _read(self, command: ReadSubject) -> None:
-        self.dispatch(await self._store.read(command))
-
-    async def _watch(self, command: WatchSubject) -> None:
-        self.dispatch(await self._store.watch(command))
+    async def _call_store(self, command: ReadSubject | WatchSubject | ProbeStore) -> None:
+        counters = self._node.counters
+        if isinstance(command, ReadSubject):
+            counters.store_reads += 1
+            self.dispatch(await self._store.read(command))
+        elif isinstance(command, WatchSubject):
+            counters.store_watches += 1
+            self.dispatch(await self._store.watch(command))
+        else:
+            counters.store_probes += 1
+            self.dispatch(await self._store.probe())
 
     async def _forward(self) -> None:
         """Forward from the moment at which something is known; until then packets wait.
--- a/sloepond/runtime/forwarding/store_client.py
+++ b/sloepond/runtime/forwarding/store_client.py
@@ -11,6 +11,7 @@
     StoreCallFailed,
     StoreEvent,
     StoreFailure,
+    StoreProbed,
     WatchSubject,
 )
 from sloepond.runtime.forwarding.drivers import StoreCodec
@@ -48,6 +49,10 @@
             event = paged.answered(await self._client.get(paged.target, SILENCE_S))
         return event
 
+    async def probe(self) -> StoreProbed:
+        """Ask whether the store answers."""
+        return StoreProbed(store_failure(await self._client.get(self._codec.probe_target(), SILENCE_S)))
+
     async def watch(self, command: WatchSubject) -> StoreEvent:
         """Wait for changes of a subject."""
         target = self._codec.watch_target(command)
