Back ends that seem gone are checked by a connection; flows of those that are gone are reset

Change: a repeated request, a repeated opening packet, an entry that vanished or a peer's word makes a balancer open a connection to the target, two within 0.15 s. If none is accepted its flows are reset for 4 s (90 s once it has left the list), it is given no new ones, and peers are told, who check for themselves before they reset anything. Of two targets with one address the one that has ended is known without a check. Checks: one a second a target, 20 a second in all.

Tests: reachability.feature.

--- /dev/null
+++ b/features/forwarding/reachability.feature
@@ -0,0 +1,78 @@
+Feature: Flows of a back end that is gone are told so at once, and no flow of one that lives
+
+  Scenario: A repeated request makes a balancer see whether its back end can be reached
+    Given a forwarding node with routes and back ends
+    When forwarding passes on a request and its repetition
+    Then forwarding checks that back end, and only that one
+
+  Scenario: A request that is not repeated checks nothing
+    Given a forwarding node with routes and back ends
+    When forwarding passes on many requests with their answers
+    Then forwarding checks no back end
+
+  Scenario: A copy of an opening packet checks the first choice
+    Given a forwarding node with routes and back ends
+    When forwarding passes on an opening packet and its copy
+    Then forwarding checks that back end, and only that one
+
+  Scenario: Flows of a back end that cannot be reached are reset, and it is given no new ones
+    Given a forwarding node with routes and back ends
+    When forwarding passes on a request and its repetition
+    And the checked back end cannot be reached
+    Then forwarding resets packets of flows to it and forwards all others
+    And forwarding places 40 new flows elsewhere
+    And forwarding tells peers of it
+
+  Scenario: Flows of a back end that can be reached stay, whatever is repeated
+    Given a forwarding node with routes and back ends
+    When forwarding passes on a request and its repetition
+    And the checked back end can be reached
+    Then forwarding forwards all packets
+
+  Scenario: A peer's word resets nothing, but makes the balancer see for itself
+    Given a forwarding node with routes and back ends
+    When a peer tells forwarding that back end 1 cannot be reached
+    Then forwarding forwards all packets
+    And forwarding checks that back end, and only that one
+    And forwarding places 40 new flows elsewhere
+
+  Scenario: News of a back end in the store ends the verdict
+    Given a forwarding node with routes and back ends
+    When forwarding passes on a request and its repetition
+    And the checked back end cannot be reached
+    And the store brings news of the checked back end
+    Then forwarding forwards all packets
+
+  Scenario: The verdict on a back end that is still listed ends by itself
+    Given a forwarding node with routes and back ends
+    When forwarding passes on a request and its repetition
+    And the checked back end cannot be reached
+    And five seconds pass in forwarding
+    Then forwarding forwards all packets
+
+  Scenario: The verdict on a back end that then leaves the list stands
+    Given a forwarding node with routes and back ends
+    When forwarding passes on a request and its repetition
+    And the checked back end cannot be reached
+    And the checked back end leaves the list without a word
+    And five seconds pass in forwarding
+    Then forwarding resets packets of flows to it and forwards all others
+
+  Scenario: Flows of a back end whose address has gone to another are reset
+    Given a forwarding node with routes and back ends
+    When the address of back end 1 goes to a back end of another service
+    Then forwarding resets packets of flows to it and forwards all others
+
+  Scenario: An entry learned late takes no address from the back end that has it now
+    Then forwarding property: of two with one address the one that lives keeps its flows, in any order
+
+  Scenario: A service none of whose back ends can be reached is still tried
+    Given a forwarding node with routes and back ends
+    When no back end of the service can be reached
+    Then forwarding places a new flow all the same
+
+  Scenario: Whatever callers repeat, checks are few
+    Then forwarding property: a back end is checked once a second and all together 20 times a second at most
+
+  Scenario: A check tells a listening address from one that refuses and one that is silent
+    Then a check reaches a listening address, and neither one that refuses nor one that is silent
--- /dev/null
+++ b/features/steps/forwarding_reachability_steps.py
@@ -0,0 +1,230 @@
+"""Steps on back ends that cannot be reached."""
+
+from __future__ import annotations
+
+import itertools
+import socket
+
+import trio
+from behave import then, when
+from forwarding_model import STREAM, Harness, record, segment
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from sloepond.core.forwarding.backends import BackendDirectory, BackendState, Endpoint
+from sloepond.core.forwarding.events import (
+    BackendChecked,
+    BackendsChanged,
+    BackendSuspected,
+    CheckBackend,
+    DepartedBackend,
+    PeerMessageReceived,
+    SendToPeer,
+    TimerFired,
+)
+from sloepond.core.forwarding.packets import Refusal
+from sloepond.core.forwarding.peer_messages import BackendUnreachable, Heartbeat
+from sloepond.core.forwarding.reachability import CHECKS_PER_S
+from sloepond.runtime.forwarding.reachability_check import CHECK_S, is_reachable
+
+PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=60)
+ALL = range(1, 8)
+
+
+def pass_on(harness, packet):
+    """Decide on a packet as the data path does; return the decision."""
+    decision = harness.node.decide(packet, harness.now)
+    if decision.suspect:
+        harness.handle(BackendSuspected(decision.suspect))
+    return decision
+
+
+def checks(harness):
+    """Return and forget the names of back ends to be checked."""
+    return [command.name for command in harness.all(CheckBackend)]
+
+
+@when("forwarding passes on a request and its repetition")
+def request_repeated(context):
+    harness = context.harness
+    harness.handle(PeerMessageReceived("10.1.0.2", Heartbeat(7, 1, False, ())))
+    packet = segment(token=1, length=10)
+    assert not pass_on(harness, packet).suspect
+    harness.now += 0.2
+    assert pass_on(harness, packet).backend.number == 1
+    context.number = 1
+
+
+@when("forwarding passes on many requests with their answers")
+def no_repetition(context):
+    harness = context.harness
+    for turn in range(50):
+        for port in (1000, 1001):
+            sent = segment(port=port, token=1, length=10, acknowledgement=1 + 50 * turn)
+            sent.sequence = 10 * turn
+            pass_on(harness, sent)
+            answered = segment(port=port, token=1, acknowledgement=51 + 50 * turn)
+            answered.sequence = 10 * turn + 10
+            pass_on(harness, answered)
+        harness.now += 0.02
+
+
+@when("forwarding passes on an opening packet and its copy")
+def opening_repeated(context):
+    harness = context.harness
+    context.number = pass_on(harness, segment(STREAM, opening=True)).backend.number
+    harness.now += 0.2
+    assert pass_on(harness, segment(STREAM, opening=True, copies=1)).backend.number != context.number
+
+
+@then("forwarding checks that back end, and only that one")
+def checks_one(context):
+    assert checks(context.harness) == [record(context.number).name]
+
+
+@then("forwarding checks no back end")
+def checks_none(context):
+    assert checks(context.harness) == []
+
+
+@when("the checked back end {result} be reached")
+def checked(context, result):
+    name = record(context.number).name
+    context.harness.now += 0.1
+    context.harness.handle(BackendChecked(name, result == "can"))
+
+
+@then("forwarding resets packets of flows to it and forwards all others")
+def resets(context):
+    harness = context.harness
+    for number in ALL:
+        decision = harness.node.decide(segment(port=2000 + number, token=number, length=5), harness.now)
+        if number == context.number:
+            assert decision.refusal is Refusal.UNREACHABLE and decision.reset
+        else:
+            assert decision.backend.number == number
+
+
+@then("forwarding places {count:d} new flows elsewhere")
+def places_elsewhere(context, count):
+    for port in range(3000, 3000 + count):
+        decision = context.harness.node.decide(segment(STREAM, port, opening=True), context.harness.now)
+        assert decision.hold or decision.backend.number != context.number
+
+
+@then("forwarding tells peers of it")
+def tells_peers(context):
+    told = [c.message for c in context.harness.all(SendToPeer) if isinstance(c.message, BackendUnreachable)]
+    assert told and {message.name for message in told} == {record(context.number).name}
+
+
+@then("forwarding forwards all packets")
+def forwards_all(context):
+    harness = context.harness
+    for number in ALL:
+        packet = segment(port=4000 + number, token=number, length=5)
+        assert pass_on(harness, packet).backend.number == number
+
+
+@when("a peer tells forwarding that back end {number:d} cannot be reached")
+def peer_tells(context, number):
+    context.number = number
+    message = BackendUnreachable(record(number).name)
+    context.harness.handle(PeerMessageReceived("10.1.0.2", message))
+
+
+@when("the store brings news of the checked back end")
+def store_news(context):
+    changes = (record(context.number, revision=50),)
+    context.harness.handle(BackendsChanged(50, changes))
+
+
+@when("five seconds pass in forwarding")
+def five_seconds(context):
+    harness = context.harness
+    harness.run_to(harness.now + 5.0, TimerFired())
+
+
+@when("the checked back end leaves the list without a word")
+def leaves_list(context):
+    gone = DepartedBackend(record(context.number).name, 60)
+    context.harness.handle(BackendsChanged(60, (gone,)))
+
+
+@when("the address of back end {number:d} goes to a back end of another service")
+def address_reused(context, number):
+    context.number = number
+    old = record(number)
+    heir = record(90, "roster", revision=70)
+    heir = type(heir)(
+        heir.name, heir.number, heir.service, old.host, old.port, heir.zone, heir.slots, heir.state, 0.0, 70
+    )
+    context.harness.handle(BackendsChanged(70, (heir,)))
+
+
+@then("forwarding property: of two with one address the one that lives keeps its flows, in any order")
+def one_address(context):
+    old, heir = record(1, revision=5), record(251, "roster", revision=20)
+    assert Endpoint(old.host, old.port) == Endpoint(heir.host, heir.port)
+    departed = record(1, revision=30, state=BackendState.DEPARTED)
+    for order in itertools.permutations([(old, 0.0), (heir, 0.0), (departed, 1.0)]):
+        directory = BackendDirectory()
+        for entry, departed_s in order:
+            directory.take(entry, departed_s, 10.0)
+        assert directory.by_name(old.name).is_unreachable(10.0)
+        assert not directory.by_name(heir.name).is_unreachable(10.0)
+
+
+@when("no back end of the service can be reached")
+def none_reachable(context):
+    for number in range(1, 6):
+        context.harness.handle(BackendChecked(record(number).name, False))
+
+
+@then("forwarding places a new flow all the same")
+def places_anyway(context):
+    decision = context.harness.node.decide(segment(STREAM, opening=True), context.harness.now)
+    assert decision.backend.number in range(1, 6)
+
+
+@then("forwarding property: a back end is checked once a second and all together 20 times a second at most")
+def few_checks(context):
+    @PROPERTY
+    @for_all(st.lists(st.tuples(st.integers(1, 60), st.floats(0.0, 0.02)), min_size=50, max_size=300))
+    def check(steps):
+        backends = tuple(record(number) for number in range(1, 61))
+        harness = Harness().configure(backends=backends)
+        harness.run_to(harness.now + 0.2, TimerFired())
+        seen = []
+        for number, wait_s in steps:
+            harness.now += wait_s
+            pass_on(harness, segment(port=number, token=number, length=5))
+            pass_on(harness, segment(port=number, token=number, length=5))
+            seen.extend((harness.now, name) for name in checks(harness))
+        for at, name in seen:
+            window = [other for when_, other in seen if at <= when_ < at + 0.999]
+            assert len(window) <= 2 * CHECKS_PER_S
+            assert window.count(name) == 1
+
+    check()
+
+
+@then("a check reaches a listening address, and neither one that refuses nor one that is silent")
+def check_sockets(context):
+    with socket.socket() as listening, socket.socket() as bound:
+        listening.bind(("127.0.30.7", 0))
+        listening.listen()
+        bound.bind(("127.0.30.7", 0))
+        assert trio.run(is_reachable, Endpoint(*listening.getsockname()))
+        assert not trio.run(is_reachable, Endpoint(*bound.getsockname()))
+        # A queue that is full drops opening packets: silence.
+        bound.listen(0)
+        waiting = [socket.socket() for _ in range(4)]
+        for each in waiting:
+            each.setblocking(False)
+            each.connect_ex(bound.getsockname())
+        assert not trio.run(is_reachable, Endpoint(*bound.getsockname()))
+        for each in waiting:
+            each.close()
+    assert CHECK_S < 0.2
--- a/sloepond/core/forwarding/backends.py
+++ b/sloepond/core/forwarding/backends.py
@@ -16,6 +16,7 @@
 TOKEN_MASK = (1 << TOKEN_BITS) - 1
 NO_TOKEN = 0
 """Stands in packets that carry no token."""
+NEVER = float("inf")
 DEPARTED_MEMORY_S = 90.0
 """How long a departed back end keeps its token: the life of a flow and a margin.
 A back end may serve on after it has left the list."""
@@ -66,6 +67,7 @@
     :ivar reset: whether the caller is told at once that its flow was not opened.
     :ivar lookup: whether peers are asked for the token before the packet is dropped.
     :ivar hold: whether the packet waits for room at a back end.
+    :ivar suspect: name of a back end that may be gone and is to be checked.
     """
 
     backend: ForwardingBackend | None = None
@@ -73,6 +75,7 @@
     reset: bool = False
     lookup: bool = False
     hold: bool = False
+    suspect: str = ""
 
 
 class ForwardingBackend:
@@ -87,13 +90,18 @@
     :ivar flows: flows opened through this balancer and not closed.
     :ivar in_flight: requests seen through this balancer without an answer.
     :ivar decision: the decision to forward to it.
+    :ivar suspicious_decision: the same, and that it is to be checked.
     :ivar silent_until: time until which it is passed over for its silence.
+    :ivar checked_at: when it was last checked.
+    :ivar suspected_until: time until which a peer's word makes it to be checked.
+    :ivar unreachable_until: time until which its flows are reset.
     """
 
     __slots__ = (
         "name", "number", "service", "endpoint", "zone", "slots", "state", "token", "prefix",
         "warm_at", "departed_at", "said_leaving", "revision", "flows", "in_flight",
-        "silent_until", "token_bytes", "decision",
+        "silent_until", "token_bytes", "decision", "suspicious_decision", "checked_at",
+        "suspected_until", "unreachable_until",
     )  # fmt: skip
 
     def __init__(self, record: BackendRecord, now: float) -> None:
@@ -106,6 +114,10 @@
         self.token_bytes = self.token.to_bytes(4, "big")
         self.prefix = record.number.to_bytes(8, "big")
         self.decision = Decision(self)
+        self.suspicious_decision = Decision(self, suspect=record.name)
+        self.checked_at = -NEVER
+        self.suspected_until = 0.0
+        self.unreachable_until = 0.0
         self.flows = 0
         self.in_flight = 0
         self.silent_until = 0.0
@@ -121,6 +133,17 @@
             self.said_leaving = True
         self.warm_at = now + record.cold_s
         self.revision = record.revision
+        self.suspected_until = 0.0
+        self.unreachable_until = 0.0
+
+    def is_unreachable(self, now: float) -> bool:
+        """Tell whether its flows are reset."""
+        return self.unreachable_until > now
+
+    @property
+    def has_vanished(self) -> bool:
+        """Whether it has left the list without having said so."""
+        return self.state is BackendState.DEPARTED and not self.said_leaving
 
     def departed_s(self, now: float) -> float:
         """Return seconds since it left the list, 0 if it is listed."""
@@ -163,6 +186,7 @@
         self._by_name: dict[str, ForwardingBackend] = {}
         self._by_token: dict[int, ForwardingBackend] = {}
         self._by_service: dict[str, dict[str, ForwardingBackend]] = {}
+        self._by_endpoint: dict[Endpoint, ForwardingBackend] = {}
         self._candidates: dict[str, list[ForwardingBackend]] = {}
         self._shadowed: set[str] = set()
         self.changes = ChangeIndex()
@@ -199,10 +223,7 @@
         return [
             backend
             for backend in self._of_service(service)
-            if backend.state is BackendState.DEPARTED
-            and not backend.said_leaving
-            and backend.departed_at >= since
-            and self._may_take_flows(backend)
+            if backend.has_vanished and backend.departed_at >= since and self._may_take_flows(backend)
         ]
 
     def put(self, record: BackendRecord, now: float) -> bool:
@@ -250,6 +271,9 @@
         backend.state = BackendState.DEPARTED
         backend.revision = revision
         backend.departed_at = now
+        if backend.is_unreachable(now):
+            backend.unreachable_until = now + DEPARTED_MEMORY_S
+        self._settle_address(backend)
         self._changed(name, backend.service, revision)
         return True
 
@@ -293,6 +317,18 @@
         self._by_name[backend.name] = backend
         self._by_service.setdefault(backend.service, {})[backend.name] = backend
         self._claim_token(backend)
+        self._settle_address(backend)
+
+    def _settle_address(self, backend: ForwardingBackend) -> None:
+        """Of two back ends with one address, one has ended: its flows are reset."""
+        other = self._by_endpoint.setdefault(backend.endpoint, backend)
+        if other is backend or other.name not in self._by_name:
+            self._by_endpoint[backend.endpoint] = backend
+            return
+        ended = _ended(backend, other)
+        if ended is not None:
+            ended.unreachable_until = NEVER
+            self._by_endpoint[backend.endpoint] = other if ended is backend else backend
 
     def _claim_token(self, backend: ForwardingBackend) -> None:
         holder = self._by_token.setdefault(backend.token, backend)
@@ -301,6 +337,8 @@
 
     def _forget(self, backend: ForwardingBackend) -> None:
         del self._by_name[backend.name]
+        if self._by_endpoint.get(backend.endpoint) is backend:
+            del self._by_endpoint[backend.endpoint]
         members = self._by_service[backend.service]
         del members[backend.name]
         if not members:
@@ -331,3 +369,14 @@
     if record.revision <= backend.revision:
         return False
     return not (backend.said_leaving and record.state is BackendState.READY)
+
+
+def _ended(one: ForwardingBackend, other: ForwardingBackend) -> ForwardingBackend | None:
+    """Return which of two back ends with one address has ended, None where that is not known."""
+    is_one_departed = one.state is BackendState.DEPARTED
+    is_other_departed = other.state is BackendState.DEPARTED
+    if is_one_departed is not is_other_departed:
+        return one if is_one_departed else other
+    if is_one_departed:
+        return None
+    return one if one.revision < other.revision else other
--- a/sloepond/core/forwarding/counters.py
+++ b/sloepond/core/forwarding/counters.py
@@ -23,6 +23,9 @@
     refused_no_token: int = 0
     refused_not_configured: int = 0
     refused_stale_knowledge: int = 0
+    refused_unreachable: int = 0
+    backends_checked: int = 0
+    backends_unreachable: int = 0
     packets_waited_too_long: int = 0
     tokens_looked_up: int = 0
     tokens_found_by_peers: int = 0
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sloepond.core.forwarding.backends import BackendRecord
+from sloepond.core.forwarding.backends import BackendRecord, Endpoint
 from sloepond.core.forwarding.packets import Segment
 from sloepond.core.forwarding.peer_messages import Knowledge, PeerMessage
 from sloepond.core.forwarding.routes import RouteConfiguration
@@ -139,6 +139,19 @@
     datagram: bytes
 
 
+class BackendSuspected(msgspec.Struct, frozen=True):
+    """Packets hint that a back end may be gone."""
+
+    name: str
+
+
+class BackendChecked(msgspec.Struct, frozen=True):
+    """A check of a back end has ended."""
+
+    name: str
+    is_reachable: bool
+
+
 StoreEvent = RoutesRead | BackendsRead | RoutesChanged | BackendsChanged | StoreCallFailed
 Event = (
     StoreEvent
@@ -147,6 +160,8 @@
     | KnowledgeReceived
     | OpeningHeld
     | UnknownTokenMet
+    | BackendSuspected
+    | BackendChecked
     | TimerFired
     | SettingsChanged
     | StopRequested
@@ -179,6 +194,13 @@
     """Ask the store for next to nothing, to know whether it answers."""
 
 
+class CheckBackend(msgspec.Struct, frozen=True):
+    """Try to reach a back end."""
+
+    name: str
+    endpoint: Endpoint
+
+
 class SendToPeer(msgspec.Struct, frozen=True):
     """Send a datagram to another balancer."""
 
@@ -214,6 +236,7 @@
     STORE_REGAINED = "store_regained"
     ROUTES_IN_FORCE = "routes_in_force"
     BACKEND_CHANGED = "backend_changed"
+    BACKEND_CHECKED = "backend_checked"
     FLOW_PLACED = "flow_placed"
     FLOW_WAITS = "flow_waits"
     REQUEST_SEEN = "request_seen"
@@ -242,6 +265,7 @@
     ReadSubject
     | WatchSubject
     | ProbeStore
+    | CheckBackend
     | SendToPeer
     | FetchKnowledge
     | ForwardHeld
--- a/sloepond/core/forwarding/flow_observer.py
+++ b/sloepond/core/forwarding/flow_observer.py
@@ -25,17 +25,19 @@
     """What was seen of one flow.
 
     :ivar acknowledged: last acknowledgement seen, 0 for none.
+    :ivar sequence: of the last data seen, -1 for none.
     :ivar requested_at: time of the request under way, 0 for none; a new flow counts as
         one request.
     """
 
-    __slots__ = ("acknowledged", "backend", "last_seen", "requested_at")
+    __slots__ = ("acknowledged", "backend", "last_seen", "requested_at", "sequence")
 
     def __init__(self, backend: ForwardingBackend, now: float) -> None:
         self.backend = backend
         self.last_seen = now
         self.acknowledged = 0
         self.requested_at = 0.0
+        self.sequence = -1
 
 
 class FlowObserver:
@@ -60,8 +62,8 @@
         flow = self._add(key, backend, now)
         self._request_sent(key, flow, now)
 
-    def packet(self, segment: Segment, backend: ForwardingBackend, now: float) -> None:
-        """Note a packet of an open flow."""
+    def packet(self, segment: Segment, backend: ForwardingBackend, now: float) -> bool:
+        """Note a packet of an open flow; return whether it repeats data that was not answered."""
         key = segment.flow_key
         flow = self._flows.get(key)
         if flow is None or flow.backend is not backend:
@@ -71,12 +73,16 @@
         self._flows.move_to_end(key)
         if segment.is_closing or segment.is_reset:
             self._remove(key)
-            return
+            return False
+        is_repeated = False
         if segment.length:
+            is_repeated = flow.sequence == segment.sequence
+            flow.sequence = segment.sequence
             self._request_sent(key, flow, now)
         elif flow.acknowledged and segment.acknowledgement != flow.acknowledged:
             self._answer_seen(key, flow)
         flow.acknowledged = segment.acknowledgement
+        return is_repeated
 
     def forget_resting(self, now: float) -> None:
         """Forget flows that rest."""
--- a/sloepond/core/forwarding/forwarder.py
+++ b/sloepond/core/forwarding/forwarder.py
@@ -27,6 +27,7 @@
 _NO_TOKEN = Decision(refusal=Refusal.NO_TOKEN)
 _UNKNOWN_TOKEN = Decision(refusal=Refusal.UNKNOWN_TOKEN, lookup=True)
 _NO_ROOM = Decision(hold=True)
+_UNREACHABLE = Decision(refusal=Refusal.UNREACHABLE, reset=True)
 _STALE = Decision(refusal=Refusal.STALE_KNOWLEDGE)
 
 
@@ -62,7 +63,11 @@
         backend = self._backends.by_token(segment.token)
         if backend is None:
             return _NO_TOKEN if segment.token == NO_TOKEN else _UNKNOWN_TOKEN
-        self.observer.packet(segment, backend, now)
+        if backend.is_unreachable(now):
+            return _UNREACHABLE
+        is_repeated = self.observer.packet(segment, backend, now)
+        if is_repeated or backend.suspected_until > now or backend.has_vanished:
+            return backend.suspicious_decision
         return backend.decision
 
     def _decide_opening(self, segment: Segment, now: float) -> Decision:
@@ -75,16 +80,19 @@
             return _NO_ROUTE
         if self._must_wait(segment, route, now):
             return _NO_ROOM
-        backend = self._place(segment, route, now)
+        first = self.observer.known_backend(segment) if segment.acknowledgement else None
+        backend = self._place(first, route, now)
         if backend is None:
             return _NO_BACKEND
         self._counters.flows_placed += 1
         self.observer.opening(segment, backend, now)
-        return backend.decision
+        return backend.decision if first is None else Decision(backend, suspect=first.name)
+
+    def _place(self, first: ForwardingBackend | None, route: Route, now: float) -> ForwardingBackend | None:
+        """Return a back end for a new flow.
 
-    def _place(self, segment: Segment, route: Route, now: float) -> ForwardingBackend | None:
-        copies = segment.acknowledgement
-        first = self.observer.known_backend(segment) if copies else None
+        :param first: the one chosen for an earlier copy of its opening packet.
+        """
         if first is not None:
             return self._second_choice(first, now)
         service = self._routes.turns(route).next()
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -12,8 +12,11 @@
 from sloepond.core.forwarding.counters import ForwardingCounters
 from sloepond.core.forwarding.dissemination import Dissemination
 from sloepond.core.forwarding.events import (
+    BackendChecked,
     BackendsChanged,
     BackendsRead,
+    BackendSuspected,
+    CheckBackend,
     Command,
     CompleteStop,
     Event,
@@ -42,6 +45,7 @@
 from sloepond.core.forwarding.peer_messages import Knowledge
 from sloepond.core.forwarding.peers import PeerTable
 from sloepond.core.forwarding.places import ANYWHERE, PlaceRules
+from sloepond.core.forwarding.reachability import Reachability
 from sloepond.core.forwarding.readers import ReaderElection, Role
 from sloepond.core.forwarding.route_table import RouteTable
 from sloepond.core.forwarding.routes import RouteConfiguration
@@ -85,6 +89,7 @@
             Subject.ROUTES: Follower(Subject.ROUTES, random_source),
             Subject.BACKENDS: Follower(Subject.BACKENDS, random_source),
         }
+        self._reachability = Reachability()
         peers = PeerTable(ip, zone, seeds, random_source)
         self._dissemination = Dissemination(
             ReaderElection(random_source.getrandbits(IDENTITY_BITS), capacity, random_source),
@@ -101,6 +106,7 @@
             self.backends,
             self._followers,
             self._dissemination,
+            self._reachability,
             self.counters,
             random_source,
         )
@@ -174,27 +180,39 @@
         if now - self._deadline > STALL_S:
             self._notice_stall(now)
         self._now = now
-        if isinstance(event, TimerFired):
+        if isinstance(event, StoreEvent):
+            self._store_answered(event)
+        elif isinstance(event, TimerFired):
             self._on_time()
         elif isinstance(event, StopRequested):
             self._request_stop()
-        elif isinstance(event, PeerMessageReceived):
-            self._exchange.message_received(event, now)
-        elif isinstance(event, KnowledgeReceived):
-            self._exchange.knowledge_received(event, now)
-        elif isinstance(event, UnknownTokenMet):
-            self._exchange.unknown_token(event, now)
         elif isinstance(event, SettingsChanged):
             self._exchange.seeds_changed(event.seeds)
-        elif isinstance(event, OpeningHeld):
-            self._forwarder.hold(event.segment, event.datagram, now)
         elif isinstance(event, StoreProbed):
             self._dissemination.probe_ended(event.failure is None, now)
+        elif isinstance(event, OpeningHeld):
+            self._forwarder.hold(event.segment, event.datagram, now)
         else:
-            self._store_answered(event)
+            self._take_from_others(event)
         self._ask_store()
         return self._finish()
 
+    def _take_from_others(
+        self,
+        event: PeerMessageReceived | KnowledgeReceived | UnknownTokenMet | BackendSuspected | BackendChecked,
+    ) -> None:
+        """Take what concerns peers and what back ends seem to be."""
+        if isinstance(event, PeerMessageReceived):
+            self._exchange.message_received(event, self._now)
+        elif isinstance(event, KnowledgeReceived):
+            self._exchange.knowledge_received(event, self._now)
+        elif isinstance(event, UnknownTokenMet):
+            self._exchange.unknown_token(event, self._now)
+        elif isinstance(event, BackendSuspected):
+            self._suspected(event.name)
+        else:
+            self._checked(event)
+
     def next_deadline(self) -> float:
         """Return when to send `TimerFired` next."""
         return self._deadline
@@ -297,6 +315,23 @@
             detail = f"state={record.state.name.lower()} rev={record.revision} told=peer"
             self._log(LogKind.BACKEND_CHANGED, record.name, detail)
 
+    def _suspected(self, name: str) -> None:
+        backend = self.backends.by_name(name)
+        if backend is not None and self._reachability.may_check(backend, self._now):
+            self.counters.backends_checked += 1
+            self._commands.append(CheckBackend(name, backend.endpoint))
+
+    def _checked(self, event: BackendChecked) -> None:
+        backend = self.backends.by_name(event.name)
+        if backend is None:
+            return
+        self._reachability.checked(backend, event.is_reachable, self._now)
+        detail = f"reachable={event.is_reachable} state={backend.state.name.lower()}"
+        self._log(LogKind.BACKEND_CHECKED, event.name, detail)
+        if not event.is_reachable:
+            self.counters.backends_unreachable += 1
+            self._exchange.tell_unreachable(event.name, self._now)
+
     def _on_time(self) -> None:
         if self._now >= self._stop_at:
             self._stop_at = NEVER
--- a/sloepond/core/forwarding/packets.py
+++ b/sloepond/core/forwarding/packets.py
@@ -54,3 +54,4 @@
     NO_TOKEN = "no_token"
     NOT_CONFIGURED = "not_configured"
     STALE_KNOWLEDGE = "stale_knowledge"
+    UNREACHABLE = "unreachable"
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -21,6 +21,7 @@
 )
 from sloepond.core.forwarding.follower import Follower
 from sloepond.core.forwarding.peer_messages import (
+    BackendUnreachable,
     ChangesAsked,
     ChangesTold,
     Confirmation,
@@ -28,10 +29,12 @@
     Heartbeat,
     Knowledge,
     KnownBackend,
+    PeerMessage,
     TokenAsked,
     TokenFound,
 )
 from sloepond.core.forwarding.peers import HEARTBEAT_INTERVAL_S, NEVER, SHARED_PEERS, PeerTable
+from sloepond.core.forwarding.reachability import Reachability
 from sloepond.core.forwarding.route_table import RouteTable
 from sloepond.core.forwarding.token_lookup import HOLD_S, TokenLookup
 
@@ -56,12 +59,14 @@
         backends: BackendDirectory,
         followers: dict[Subject, Follower],
         dissemination: Dissemination,
+        reachability: Reachability,
         counters: ForwardingCounters,
         random_source: random.Random,
     ) -> None:
         self._zone = zone
         self._peers = peers
         self._dissemination = dissemination
+        self._reachability = reachability
         self._routes = routes
         self._backends = backends
         self._followers = followers
@@ -125,6 +130,8 @@
             self._answer_token(event.ip, message.token, now)
         elif isinstance(message, TokenFound):
             self._token_found(message, now)
+        elif isinstance(message, BackendUnreachable):
+            self._suspected_by_peer(message.name, now)
         else:
             self._peers.heard_from(event.ip, now)
             self._disseminated(event.ip, message, now)
@@ -181,6 +188,15 @@
         self._send(asked, TokenAsked(event.token))
         self._commands.append(WriteLog(LogKind.TOKEN_LOOKED_UP, f"{event.token:08x}", f"asked={len(asked)}"))
 
+    def tell_unreachable(self, name: str, now: float) -> None:
+        """Tell peers of a back end that could not be reached; each passes it on once."""
+        self._send(self._peers.choose_near(now), BackendUnreachable(name))
+
+    def _suspected_by_peer(self, name: str, now: float) -> None:
+        backend = self._backends.by_name(name)
+        if backend is not None and self._reachability.suspected_by_peer(backend, now):
+            self.tell_unreachable(name, now)
+
     def _send_heartbeats(self, now: float) -> None:
         self._heartbeat_at = now + HEARTBEAT_INTERVAL_S * (0.8 + 0.4 * self._random.random())
         self._send(self._peers.choose(now), self._heartbeat(now))
@@ -190,7 +206,7 @@
         shared = self._peers.share(now)
         return Heartbeat(self._routes.version, changed_at, self.is_leaving, shared, self._zone)
 
-    def _send(self, ips: list[str], message: Heartbeat | TokenAsked | TokenFound) -> None:
+    def _send(self, ips: list[str], message: PeerMessage) -> None:
         self._counters.peer_messages_sent += len(ips)
         self._commands.extend(SendToPeer(ip, message) for ip in ips)
 
--- a/sloepond/core/forwarding/peer_messages.py
+++ b/sloepond/core/forwarding/peer_messages.py
@@ -104,8 +104,21 @@
     """A question of a balancer that has heard no confirmation lately: the last ones heard."""
 
 
+class BackendUnreachable(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """The sender, or one before it, could not reach a back end."""
+
+    name: str
+
+
 PeerMessage = (
-    Heartbeat | TokenAsked | TokenFound | Confirmation | ChangesAsked | ChangesTold | ConfirmationsAsked
+    Heartbeat
+    | TokenAsked
+    | TokenFound
+    | Confirmation
+    | ChangesAsked
+    | ChangesTold
+    | ConfirmationsAsked
+    | BackendUnreachable
 )
 
 
--- a/sloepond/runtime/forwarding/data_path.py
+++ b/sloepond/runtime/forwarding/data_path.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from sloepond.core.forwarding.backends import Decision
-from sloepond.core.forwarding.events import Event, OpeningHeld, UnknownTokenMet
+from sloepond.core.forwarding.events import BackendSuspected, Event, OpeningHeld, UnknownTokenMet
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.core.forwarding.packets import Refusal, Segment
 from sloepond.runtime.forwarding.drivers import PacketCodec
@@ -73,6 +73,8 @@
             return
         self._counters.packets_forwarded += 1
         self._send(self._codec.encode(datagram, backend), backend.endpoint)
+        if decision.suspect:
+            self.report(BackendSuspected(decision.suspect))
         if segment.is_opening:
             self._logs.flow_placed(segment, backend, self._node)
         elif segment.length:
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -7,6 +7,8 @@
 import trio
 
 from sloepond.core.forwarding.events import (
+    BackendChecked,
+    CheckBackend,
     Command,
     CompleteStop,
     Event,
@@ -30,6 +32,7 @@
 from sloepond.runtime.forwarding.log_writer import LogWriter
 from sloepond.runtime.forwarding.metrics import metrics_page
 from sloepond.runtime.forwarding.peer_channel import PeerChannel
+from sloepond.runtime.forwarding.reachability_check import is_reachable
 from sloepond.runtime.forwarding.reloading import CHECK_INTERVAL_S, SettingsReloader
 from sloepond.runtime.forwarding.store_client import StoreClient
 
@@ -102,6 +105,8 @@
                 self._logs.write(command)
             elif isinstance(command, ReadSubject | WatchSubject | ProbeStore):
                 self._nursery.start_soon(self._call_store, command)
+            elif isinstance(command, CheckBackend):
+                self._nursery.start_soon(self._check_backend, command)
             elif isinstance(command, SendToPeer):
                 self._peers.send(command)
             elif isinstance(command, FetchKnowledge):
@@ -112,6 +117,9 @@
             elif isinstance(command, CompleteStop):
                 self._nursery.cancel_scope.cancel()
 
+    async def _check_backend(self, command: CheckBackend) -> None:
+        self.dispatch(BackendChecked(command.name, await is_reachable(command.endpoint)))
+
     async def _call_store(self, command: ReadSubject | WatchSubject | ProbeStore) -> None:
         counters = self._node.counters
         if isinstance(command, ReadSubject):
