The early stage fires timers and looks for packets between all modules

Change: timers fire in the early stage; a finder that finds nothing looks for packets before each module that is searched for; peers are joined once they can be spoken to, so the election waits for that.

--- a/features/steps/forwarding_fleet.py
+++ b/features/steps/forwarding_fleet.py
@@ -16,6 +16,7 @@
     FetchKnowledge,
     KnowledgeReceived,
     PeerMessageReceived,
+    PeersJoined,
     ProbeStore,
     ReadSubject,
     RoutesChanged,
@@ -134,6 +135,7 @@
         node = ForwardingNode(zone, random.Random(self.random.random()), ip, self.seeds, capacity=0.1)
         self.nodes[ip] = node
         self.carry_out(ip, node, node.start(self.now))
+        self.carry_out(ip, node, node.handle(PeersJoined(), self.now))
 
     def kill(self, ip):
         """End a process without a word."""
--- a/features/steps/forwarding_model.py
+++ b/features/steps/forwarding_model.py
@@ -7,6 +7,7 @@
 from sloepond.core.forwarding.backends import BackendRecord, BackendState
 from sloepond.core.forwarding.events import (
     BackendsRead,
+    PeersJoined,
     ReadSubject,
     RoutesRead,
     Subject,
@@ -87,6 +88,7 @@
         self.now = 100.0
         self.commands = []
         self.take(self.node.start(self.now))
+        self.handle(PeersJoined())
 
     def take(self, commands):
         """Keep commands."""
--- /dev/null
+++ b/features/steps/loaded/__init__.py
@@ -0,0 +1,1 @@
+"""Modules that features load."""
--- /dev/null
+++ b/features/steps/loaded/needs_three.py
@@ -0,0 +1,5 @@
+"""Needs three other modules."""
+
+from loaded import one, three, two
+
+__all__ = ["one", "three", "two"]
--- /dev/null
+++ b/features/steps/loaded/three.py
@@ -0,0 +1,1 @@
+"""Needed by `needs_three`."""
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -108,6 +108,10 @@
     """A planned stop begins."""
 
 
+class PeersJoined(msgspec.Struct, frozen=True):
+    """Peers can be spoken to from now on."""
+
+
 class PeerMessageReceived(msgspec.Struct, frozen=True):
     """A datagram came from another balancer.
 
@@ -156,6 +160,7 @@
 Event = (
     StoreEvent
     | StoreProbed
+    | PeersJoined
     | PeerMessageReceived
     | KnowledgeReceived
     | OpeningHeld
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -25,6 +25,7 @@
     LogKind,
     OpeningHeld,
     PeerMessageReceived,
+    PeersJoined,
     RoutesChanged,
     RoutesRead,
     SettingsChanged,
@@ -117,6 +118,7 @@
         self._trust_again_at = NEVER
         self._stalled_at = -NEVER
         self._stop_at = NEVER
+        self._started_at = 0.0
         self.is_stopping = False
 
     @property
@@ -160,8 +162,7 @@
         self._now = now
         self._housekeeping_at = now + HOUSEKEEPING_S
         self._forwarder.admission.start(now)
-        self._exchange.start(now)
-        self._dissemination.start(now)
+        self._started_at = now
         self._ask_store()
         return self._finish()
 
@@ -186,6 +187,9 @@
             self._on_time()
         elif isinstance(event, StopRequested):
             self._request_stop()
+        elif isinstance(event, PeersJoined):
+            self._exchange.start(now, self._started_at)
+            self._dissemination.start(now)
         elif isinstance(event, SettingsChanged):
             self._exchange.seeds_changed(event.seeds)
         elif isinstance(event, StoreProbed):
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -88,10 +88,13 @@
         """Take other seeds; peers known stay."""
         self._peers.seeds_changed(seeds)
 
-    def start(self, now: float) -> None:
-        """Start heartbeats."""
+    def start(self, now: float, started_at: float) -> None:
+        """Start heartbeats.
+
+        :param started_at: when this process has begun to ask the store.
+        """
         self._heartbeat_at = now
-        self._ask_at = now + ASK_PEERS_AFTER_S
+        self._ask_at = max(now, started_at + ASK_PEERS_AFTER_S)
 
     def take_commands(self) -> list[Command]:
         """Return what is to be done, and forget it."""
--- a/sloepond/runtime/forwarding/early.py
+++ b/sloepond/runtime/forwarding/early.py
@@ -1,6 +1,6 @@
 """Forwarding before everything is loaded.
 
-Loading trio takes longer than all else at a start.  It is loaded in steps; between them
+Loading trio takes longer than all else at a start.  Between the modules that are loaded
 this reads the store and forwards, with plain sockets, by the same node and data path.
 
 A thread that loads it was tried and gave up: the process sometimes crashed in it.
@@ -11,6 +11,7 @@
 import importlib
 import select
 import socket
+from collections.abc import Callable
 
 import h11
 import msgspec
@@ -21,6 +22,7 @@
     ForwardHeld,
     ReadSubject,
     StoreEvent,
+    TimerFired,
     WriteLog,
 )
 from sloepond.core.forwarding.node import ForwardingNode
@@ -28,33 +30,19 @@
 from sloepond.runtime.forwarding.data_path import DataPath
 from sloepond.runtime.forwarding.drivers import BoundSockets, StoreCodec
 from sloepond.runtime.forwarding.http_exchange import HttpExchange, HttpFailure, HttpResponse
+from sloepond.runtime.forwarding.import_polling import PollingFinder
 from sloepond.runtime.forwarding.log_writer import LogWriter
 from sloepond.runtime.forwarding.store_pages import PagedRead
 
 FIRST_READS_S = 0.04
 """How long loading waits for the first reads of the store."""
+LOOK_INTERVAL_S = 0.002
+"""Least time between two looks for packets while modules are loaded."""
 POLL_MS = 5
 """Longest wait for a packet or an answer meanwhile."""
 READ_BYTES = 65_536
-SERVICE_MODULE = "sloepond.runtime.forwarding.service"
-STEPS = (
-    "logging",
-    "subprocess",
-    "ctypes.util",
-    "attr",
-    "attrs",
-    "outcome",
-    "sortedcontainers",
-    "importlib.resources",
-    "concurrent.futures",
-    "sniffio",
-    "idna",
-    "ssl",
-    "hmac",
-    "trio",
-    SERVICE_MODULE,
-)
-"""Modules loaded one after the other: what trio needs, trio, the service."""
+MODULES = ("trio", "sloepond.runtime.forwarding.service")
+"""What is loaded meanwhile."""
 
 
 class EarlyResult(msgspec.Struct):
@@ -111,6 +99,7 @@
     """Runs the node until the rest is loaded.
 
     :param store: endpoint of the store.
+    :param clock: returns seconds of a monotonic clock.
     """
 
     def __init__(
@@ -121,7 +110,9 @@
         codec: StoreCodec,
         node: ForwardingNode,
         logs: LogWriter,
+        clock: Callable[[], float] = monotonic_seconds,
     ) -> None:
+        self._clock = clock
         self._edge = sockets.edge
         self._data_path = data_path
         self._store = store
@@ -131,32 +122,52 @@
         self._reads: dict[int, EarlyRead] = {}
         self._poll = select.poll()
         self._left: list[Command] = []
+        self._look_at = 0.0
+        self._is_forwarding = False
 
-    def run(self, signals: list[int]) -> EarlyResult:
+    def run(
+        self,
+        signals: list[int],
+        modules: tuple[str, ...] = MODULES,
+        load: Callable[[str], object] = importlib.import_module,
+    ) -> EarlyResult:
         """Forward until the service is loaded.
 
         :param signals: filled by signal handlers.
+        :param load: loads a module.
         """
         self._data_path.report = self._report
-        started = monotonic_seconds()
+        started = self._clock()
         self._carry_out(self._node.start(started))
-        while not self._node.is_configured and monotonic_seconds() - started < FIRST_READS_S:
+        while not self._node.is_configured and self._clock() - started < FIRST_READS_S:
             self._poll_once(POLL_MS)
-        for name in STEPS:
-            importlib.import_module(name)
-            self._poll_once(0)
+        with PollingFinder(self._look):
+            for name in modules:
+                load(name)
+                self._poll_once(0)
         for read in self._reads.values():
             read.socket.close()
             self._left.append(read.command)
         return EarlyResult(self._left, signals)
 
+    def _look(self) -> None:
+        """Look for packets, not more often than needed: each look is a system call."""
+        if self._clock() >= self._look_at:
+            self._poll_once(0)
+            self._look_at = self._clock() + LOOK_INTERVAL_S
+
     def _poll_once(self, timeout_ms: int) -> None:
+        if self._clock() >= self._node.next_deadline():
+            self._report(TimerFired())
+        if self._node.is_configured and not self._is_forwarding:
+            self._is_forwarding = True
+            self._poll.register(self._edge, select.POLLIN)
         for descriptor, _ in self._poll.poll(timeout_ms):
             read = self._reads.get(descriptor)
             if read is not None:
                 self._progress(descriptor, read)
             else:
-                self._data_path.drain(monotonic_seconds())
+                self._data_path.drain(self._clock())
 
     def _progress(self, descriptor: int, read: EarlyRead) -> None:
         event = read.progress()
@@ -166,12 +177,10 @@
         self._poll.unregister(descriptor)
         del self._reads[descriptor]
         read.socket.close()
-        self._carry_out(self._node.handle(event, monotonic_seconds()))
-        if self._node.is_configured:
-            self._poll.register(self._edge, select.POLLIN)
+        self._carry_out(self._node.handle(event, self._clock()))
 
     def _report(self, event: Event) -> None:
-        self._carry_out(self._node.handle(event, monotonic_seconds()))
+        self._carry_out(self._node.handle(event, self._clock()))
 
     def _carry_out(self, commands: list[Command]) -> None:
         for command in commands:
@@ -181,7 +190,7 @@
                 self._logs.write(command)
             elif isinstance(command, ForwardHeld):
                 for datagram in command.datagrams:
-                    self._data_path.packet(datagram, monotonic_seconds())
+                    self._data_path.packet(datagram, self._clock())
             else:
                 self._left.append(command)
 
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -15,6 +15,7 @@
     FetchKnowledge,
     ForwardHeld,
     LogKind,
+    PeersJoined,
     ProbeStore,
     ReadSubject,
     SendToPeer,
@@ -77,6 +78,7 @@
             nursery.start_soon(self._handle_signals)
             nursery.start_soon(self._peers.run)
             self._carry_out(begun.commands)
+            self.dispatch(PeersJoined())
             if self._node.is_configured:
                 self._configured.set()
             for received in begun.signals:
