A back end counts as gone only if another is reached meanwhile; large route changes come from peers

Differences of routes too large for a datagram are fetched from a peer by stream instead of the whole configuration from the store; what is large is fetched in the own zone.

Tests: a check in doubt resets nothing; 300 new routes reach 40 balancers with at most 6 reads of the store; sockets that listen, refuse and are silent.

--- a/features/forwarding/reachability.feature
+++ b/features/forwarding/reachability.feature
@@ -18,7 +18,7 @@
   Scenario: Flows of a back end that cannot be reached are reset, and it is given no new ones
     Given a forwarding node with routes and back ends
     When forwarding passes on a request and its repetition
-    And the checked back end cannot be reached
+    And the check of the back end says unreachable
     Then forwarding resets packets of flows to it and forwards all others
     And forwarding places 40 new flows elsewhere
     And forwarding tells peers of it
@@ -26,7 +26,13 @@
   Scenario: Flows of a back end that can be reached stay, whatever is repeated
     Given a forwarding node with routes and back ends
     When forwarding passes on a request and its repetition
-    And the checked back end can be reached
+    And the check of the back end says reachable
+    Then forwarding forwards all packets
+
+  Scenario: A check that reached nothing else either resets no flow
+    Given a forwarding node with routes and back ends
+    When forwarding passes on a request and its repetition
+    And the check of the back end says unknown
     Then forwarding forwards all packets
 
   Scenario: A peer's word resets nothing, but makes the balancer see for itself
@@ -39,21 +45,21 @@
   Scenario: News of a back end in the store ends the verdict
     Given a forwarding node with routes and back ends
     When forwarding passes on a request and its repetition
-    And the checked back end cannot be reached
+    And the check of the back end says unreachable
     And the store brings news of the checked back end
     Then forwarding forwards all packets
 
   Scenario: The verdict on a back end that is still listed ends by itself
     Given a forwarding node with routes and back ends
     When forwarding passes on a request and its repetition
-    And the checked back end cannot be reached
+    And the check of the back end says unreachable
     And five seconds pass in forwarding
     Then forwarding forwards all packets
 
   Scenario: The verdict on a back end that then leaves the list stands
     Given a forwarding node with routes and back ends
     When forwarding passes on a request and its repetition
-    And the checked back end cannot be reached
+    And the check of the back end says unreachable
     And the checked back end leaves the list without a word
     And five seconds pass in forwarding
     Then forwarding resets packets of flows to it and forwards all others
@@ -74,5 +80,5 @@
   Scenario: Whatever callers repeat, checks are few
     Then forwarding property: a back end is checked once a second and all together 20 times a second at most
 
-  Scenario: A check tells a listening address from one that refuses and one that is silent
-    Then a check reaches a listening address, and neither one that refuses nor one that is silent
+  Scenario: A check tells addresses that listen, refuse and are silent apart
+    Then a check tells them apart, and is in doubt where another address is silent too
--- a/features/forwarding/readers.feature
+++ b/features/forwarding/readers.feature
@@ -21,6 +21,7 @@
     Given a simulated fleet of 40 forwarding nodes
     When the operator of the forwarding fleet adds 300 routes
     Then the forwarding fleet knows all within 2 seconds
+    And the forwarding fleet has read the routes from the store at most 6 times
 
   Scenario: More changes at once than a datagram holds reach all
     Given a simulated fleet of 40 forwarding nodes
--- a/features/steps/forwarding_fleet.py
+++ b/features/steps/forwarding_fleet.py
@@ -14,6 +14,7 @@
     BackendsRead,
     DepartedBackend,
     FetchKnowledge,
+    FetchRoutes,
     KnowledgeReceived,
     PeerMessageReceived,
     PeersJoined,
@@ -21,6 +22,7 @@
     ReadSubject,
     RoutesChanged,
     RoutesRead,
+    RoutesTold,
     SendToPeer,
     StoreCallFailed,
     StoreFailure,
@@ -53,6 +55,7 @@
         self.backends = {}
         self.log = []
         self.calls = 0
+        self.route_reads = 0
         for number in range(1, 8):
             self.put(number, 0.0)
 
@@ -153,6 +156,8 @@
                 self.send(ip, command)
             elif isinstance(command, FetchKnowledge):
                 self.fetch(ip, node, command.ip)
+            elif isinstance(command, FetchRoutes):
+                self.fetch_routes(ip, node, command)
             elif isinstance(command, ReadSubject | WatchSubject | ProbeStore):
                 self.call(ip, node, command)
 
@@ -175,9 +180,19 @@
         if knowledge is not None:
             self.later(ANSWER_S, ip, node, KnowledgeReceived(peer, knowledge))
 
+    def fetch_routes(self, ip, node, command):
+        """Bring the differences that a peer keeps."""
+        target = self.nodes.get(command.ip)
+        if target is not None and self.group.get(ip) == self.group.get(command.ip):
+            deltas = target.routes_since(command.version)
+            if deltas:
+                self.later(ANSWER_S, ip, node, RoutesTold(command.ip, deltas))
+
     def call(self, ip, node, command):
         """Call the store."""
         self.store.calls += 1
+        if isinstance(command, ReadSubject) and command.subject is Subject.ROUTES:
+            self.store.route_reads += 1
         if ip in self.storeless:
             self.later(TIMEOUT_S, ip, node, self.failure(command, StoreFailure.TIMED_OUT))
         elif isinstance(command, WatchSubject):
--- a/features/steps/forwarding_readers_steps.py
+++ b/features/steps/forwarding_readers_steps.py
@@ -94,9 +94,15 @@
 @when("the operator of the forwarding fleet adds {count:d} routes")
 def adds_routes(context, count):
     fleet = context.fleet
+    fleet.store.route_reads = 0
     fleet.store.configure([*fleet.store.routes.routes, *(route(100 + n) for n in range(count))], fleet.now)
 
 
+@then("the forwarding fleet has read the routes from the store at most {count:d} times")
+def read_seldom(context, count):
+    assert context.fleet.store.route_reads <= count, context.fleet.store.route_reads
+
+
 @when("{count:d} back ends of the forwarding fleet start at once")
 def backends_start(context, count):
     for number in range(count):
--- a/sloepond/core/forwarding/dissemination.py
+++ b/sloepond/core/forwarding/dissemination.py
@@ -7,7 +7,15 @@
 import msgspec
 
 from sloepond.core.forwarding.counters import ForwardingCounters
-from sloepond.core.forwarding.events import Command, LogKind, ProbeStore, SendToPeer, Subject, WriteLog
+from sloepond.core.forwarding.events import (
+    Command,
+    FetchRoutes,
+    LogKind,
+    ProbeStore,
+    SendToPeer,
+    Subject,
+    WriteLog,
+)
 from sloepond.core.forwarding.follower import Follower
 from sloepond.core.forwarding.news import News
 from sloepond.core.forwarding.peer_messages import (
@@ -21,6 +29,7 @@
 )
 from sloepond.core.forwarding.peers import PeerTable
 from sloepond.core.forwarding.readers import FRESH_S, ReaderElection, Role
+from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.core.forwarding.store_contact import StoreContact
 
 PULL_AFTER_S = 0.9
@@ -29,10 +38,12 @@
 """Time until it asks others."""
 NEWS_DELAY_S = 0.02
 """How long a reader gathers changes before it tells them."""
-CATCH_UP_S = (0.1, 0.3, 0.5)
+CATCH_UP_S = (0.1, 0.2, 0.2, 0.2)
 """Waits of a balancer that knows less than a peer: before it asks that peer, before it
-asks others, before it reads the store."""
-READ_SPREAD_S = 0.5
+asks others, twice, and before it reads the store."""
+FETCH_INTERVAL_S = 0.5
+"""How long a peer is given to tell large differences before another one is asked."""
+READ_SPREAD_S = 0.25
 """Reads of the store by many for the same reason are spread over this time."""
 HEARS_PEERS_S = 2.0
 """Silence of all peers after which a balancer takes itself to be cut off."""
@@ -84,6 +95,7 @@
         self._number = 0
         self._confirm_at = NEVER
         self._pull_at = NEVER
+        self._fetch_again_at = -NEVER
         self._heard: dict[int, HeardConfirmation] = {}
         self._confirmed_at = dict.fromkeys(Subject, -NEVER)
         self._told = dict.fromkeys(Subject, 0)
@@ -202,9 +214,16 @@
         self._heard_peer_at = now
         changes = message.changes
         self._take(ip, changes, NEVER, now)
-        if changes.route_delta is None and self._is_behind(Subject.ROUTES):
-            due = now + READ_SPREAD_S * self._random.random()
-            self._followers[Subject.ROUTES].distrust(due)
+        if changes.route_delta is None and self._is_behind(Subject.ROUTES) and now >= self._fetch_again_at:
+            self._fetch_again_at = now + FETCH_INTERVAL_S
+            self._commands.append(FetchRoutes(ip, self._known(Subject.ROUTES)))
+
+    def routes_told(self, ip: str, deltas: tuple[RouteDelta, ...], now: float) -> None:
+        """Take differences of the routes that a peer was asked for."""
+        self._heard_peer_at = now
+        self._fetch_again_at = now
+        for delta in deltas:
+            self._take_routes(ip, delta, now)
 
     def peer_heard(self, ip: str, routes_version: int, changed_at: int, now: float) -> None:
         """Compare what a peer says it knows."""
@@ -283,7 +302,7 @@
 
     def _take(self, ip: str, changes: Changes, age_s: float, now: float) -> None:
         follower = self._followers[Subject.BACKENDS]
-        self._take_routes(ip, changes, now)
+        self._take_routes(ip, changes.route_delta, now)
         changed = self._news.take_backends(changes, now)
         self._changed.extend(changed)
         revision = self._news.advanced(changes, follower.revision)
@@ -296,13 +315,13 @@
             if not self._is_behind(subject):
                 self._confirmed_at[subject] = max(self._confirmed_at[subject], now - age_s)
 
-    def _take_routes(self, ip: str, changes: Changes, now: float) -> None:
-        if not self._news.take_routes(changes, now):
+    def _take_routes(self, ip: str, delta: RouteDelta | None, now: float) -> None:
+        if delta is None or not self._news.take_routes(delta, now):
             return
         self._followers[Subject.ROUTES].informed(0, now)
         self._counters.configurations_taken += 1
-        detail = f"from={ip} version={changes.routes_version}"
-        self._commands.append(WriteLog(LogKind.ROUTES_IN_FORCE, str(changes.routes_version), detail))
+        detail = f"from={ip} changed={len(delta.changed)} removed={len(delta.removed)}"
+        self._commands.append(WriteLog(LogKind.ROUTES_IN_FORCE, str(delta.version), detail))
         self.news_taken(now)
 
     def _compare(self, ip: str, changes: Changes, now: float) -> None:
@@ -333,13 +352,13 @@
             self._read_behind(subject, now)
             return
         waiting.due = now + CATCH_UP_S[waiting.step]
-        asked = [waiting.peer] if waiting.step == 1 else self._peers.choose(now)
+        asked = [waiting.peer] if waiting.step == 1 else self._peers.choose_near(now)
         known = (self._known(each) for each in (Subject.ROUTES, Subject.BACKENDS))
         self._send(asked, ChangesAsked(*known))
 
     def _read_behind(self, subject: Subject, now: float) -> None:
         self._counters.behind_peers += 1
-        self._followers[subject].distrust(now)
+        self._followers[subject].distrust(now + READ_SPREAD_S * self._random.random())
         detail = f"told={self._told[subject]} known={self._known(subject)}"
         self._commands.append(WriteLog(LogKind.BEHIND_PEER, subject.name.lower(), detail))
 
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -9,6 +9,7 @@
 from sloepond.core.forwarding.backends import BackendRecord, Endpoint
 from sloepond.core.forwarding.packets import Segment
 from sloepond.core.forwarding.peer_messages import Knowledge, PeerMessage
+from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.core.forwarding.routes import RouteConfiguration
 
 
@@ -129,6 +130,16 @@
     knowledge: Knowledge
 
 
+class RoutesTold(msgspec.Struct, frozen=True):
+    """A peer has told differences that lead to its version of the routes.
+
+    :ivar deltas: each applies to the version that the one before leads to.
+    """
+
+    ip: str
+    deltas: tuple[RouteDelta, ...]
+
+
 class OpeningHeld(msgspec.Struct, frozen=True):
     """There is no room for a new flow: its opening packet waits."""
 
@@ -149,11 +160,20 @@
     name: str
 
 
+class CheckResult(enum.Enum):
+    """What a check of a back end has shown."""
+
+    REACHABLE = "reachable"
+    UNREACHABLE = "unreachable"
+    UNKNOWN = "unknown"
+    """Another back end was not reached either: it may be this balancer's own link."""
+
+
 class BackendChecked(msgspec.Struct, frozen=True):
     """A check of a back end has ended."""
 
     name: str
-    is_reachable: bool
+    result: CheckResult
 
 
 StoreEvent = RoutesRead | BackendsRead | RoutesChanged | BackendsChanged | StoreCallFailed
@@ -163,6 +183,7 @@
     | PeersJoined
     | PeerMessageReceived
     | KnowledgeReceived
+    | RoutesTold
     | OpeningHeld
     | UnknownTokenMet
     | BackendSuspected
@@ -200,10 +221,14 @@
 
 
 class CheckBackend(msgspec.Struct, frozen=True):
-    """Try to reach a back end."""
+    """Try to reach a back end.
+
+    :ivar control: another back end, to be reached meanwhile; None where there is none.
+    """
 
     name: str
     endpoint: Endpoint
+    control: Endpoint | None
 
 
 class SendToPeer(msgspec.Struct, frozen=True):
@@ -219,6 +244,13 @@
     ip: str
 
 
+class FetchRoutes(msgspec.Struct, frozen=True):
+    """Ask a peer for the differences since a version of the routes, however large."""
+
+    ip: str
+    version: int
+
+
 class ForwardHeld(msgspec.Struct, frozen=True):
     """Decide again on packets that waited for a token."""
 
@@ -273,6 +305,7 @@
     | CheckBackend
     | SendToPeer
     | FetchKnowledge
+    | FetchRoutes
     | ForwardHeld
     | CompleteStop
     | WriteLog
--- a/sloepond/core/forwarding/news.py
+++ b/sloepond/core/forwarding/news.py
@@ -75,15 +75,15 @@
             parts = list(self._parts(revision, own_revision, now))
             answers.extend(parts if len(parts) <= MAXIMUM_MESSAGES else ())
         deltas = self._routes.history.chain(routes_version, self._routes.version)
-        if len(deltas) <= MAXIMUM_MESSAGES:
+        if deltas and len(deltas) <= MAXIMUM_MESSAGES and all(delta.fits_datagram for delta in deltas):
             answers.extend(self._about_routes(delta, own_revision) for delta in deltas)
-        if not deltas and routes_version < self._routes.version:
+        elif routes_version < self._routes.version:
             answers.append(self._about_routes(None, own_revision))
         return answers
 
-    def take_routes(self, changes: Changes, now: float) -> bool:
+    def take_routes(self, delta: RouteDelta | None, now: float) -> bool:
         """Take a difference of the routes if it applies; return whether it did."""
-        if changes.route_delta is None or not self._routes.take_delta(changes.route_delta):
+        if delta is None or not self._routes.take_delta(delta):
             return False
         self.routes_taken(now)
         return True
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -17,6 +17,7 @@
     BackendsRead,
     BackendSuspected,
     CheckBackend,
+    CheckResult,
     Command,
     CompleteStop,
     Event,
@@ -28,6 +29,7 @@
     PeersJoined,
     RoutesChanged,
     RoutesRead,
+    RoutesTold,
     SettingsChanged,
     StopRequested,
     StoreCallFailed,
@@ -48,6 +50,7 @@
 from sloepond.core.forwarding.places import ANYWHERE, PlaceRules
 from sloepond.core.forwarding.reachability import Reachability
 from sloepond.core.forwarding.readers import ReaderElection, Role
+from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.core.forwarding.route_table import RouteTable
 from sloepond.core.forwarding.routes import RouteConfiguration
 
@@ -90,7 +93,7 @@
             Subject.ROUTES: Follower(Subject.ROUTES, random_source),
             Subject.BACKENDS: Follower(Subject.BACKENDS, random_source),
         }
-        self._reachability = Reachability()
+        self._reachability = Reachability(self.backends, random_source)
         peers = PeerTable(ip, zone, seeds, random_source)
         self._dissemination = Dissemination(
             ReaderElection(random_source.getrandbits(IDENTITY_BITS), capacity, random_source),
@@ -170,6 +173,10 @@
         """Return all that is known here, None where that is nothing."""
         return self._exchange.knowledge(now) if self.is_configured else None
 
+    def routes_since(self, version: int) -> tuple[RouteDelta, ...]:
+        """Return the differences that lead from a version of the routes to the one in force."""
+        return self.routes.history.chain(version, self.routes.version)
+
     def decide(self, segment: Segment, now: float) -> Decision:
         """Return what becomes of a caller's packet."""
         if now - self._deadline > STALL_S:
@@ -203,13 +210,20 @@
 
     def _take_from_others(
         self,
-        event: PeerMessageReceived | KnowledgeReceived | UnknownTokenMet | BackendSuspected | BackendChecked,
+        event: PeerMessageReceived
+        | KnowledgeReceived
+        | RoutesTold
+        | UnknownTokenMet
+        | BackendSuspected
+        | BackendChecked,
     ) -> None:
         """Take what concerns peers and what back ends seem to be."""
         if isinstance(event, PeerMessageReceived):
             self._exchange.message_received(event, self._now)
         elif isinstance(event, KnowledgeReceived):
             self._exchange.knowledge_received(event, self._now)
+        elif isinstance(event, RoutesTold):
+            self._dissemination.routes_told(event.ip, event.deltas, self._now)
         elif isinstance(event, UnknownTokenMet):
             self._exchange.unknown_token(event, self._now)
         elif isinstance(event, BackendSuspected):
@@ -323,16 +337,17 @@
         backend = self.backends.by_name(name)
         if backend is not None and self._reachability.may_check(backend, self._now):
             self.counters.backends_checked += 1
-            self._commands.append(CheckBackend(name, backend.endpoint))
+            control = self._reachability.control(backend, self._now)
+            self._commands.append(CheckBackend(name, backend.endpoint, control))
 
     def _checked(self, event: BackendChecked) -> None:
         backend = self.backends.by_name(event.name)
         if backend is None:
             return
-        self._reachability.checked(backend, event.is_reachable, self._now)
-        detail = f"reachable={event.is_reachable} state={backend.state.name.lower()}"
+        self._reachability.checked(backend, event.result, self._now)
+        detail = f"result={event.result.value} state={backend.state.name.lower()}"
         self._log(LogKind.BACKEND_CHECKED, event.name, detail)
-        if not event.is_reachable:
+        if event.result is CheckResult.UNREACHABLE:
             self.counters.backends_unreachable += 1
             self._exchange.tell_unreachable(event.name, self._now)
 
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -126,7 +126,7 @@
         message = event.message
         if isinstance(message, Heartbeat):
             if len(message.known_peers) < SHARED_PEERS and self._peers.is_new(event.ip, now):
-                self._send([event.ip], self._heartbeat(now))
+                self._send([event.ip], self._heartbeat(now, message.zone))
             self._peers.heard(event.ip, message, now)
             self._dissemination.peer_heard(event.ip, message.routes_version, message.backends_revision, now)
         elif isinstance(message, TokenAsked):
@@ -204,9 +204,9 @@
         self._heartbeat_at = now + HEARTBEAT_INTERVAL_S * (0.8 + 0.4 * self._random.random())
         self._send(self._peers.choose(now), self._heartbeat(now))
 
-    def _heartbeat(self, now: float) -> Heartbeat:
+    def _heartbeat(self, now: float, zone: str = "") -> Heartbeat:
         changed_at = self._backends.changes.latest
-        shared = self._peers.share(now)
+        shared = self._peers.share(now, zone)
         return Heartbeat(self._routes.version, changed_at, self.is_leaving, shared, self._zone)
 
     def _send(self, ips: list[str], message: PeerMessage) -> None:
@@ -218,7 +218,7 @@
         if self._routes.version and len(self._backends):
             return
         self._ask_at = now + ASK_PEERS_INTERVAL_S
-        self._commands.extend(FetchKnowledge(ip) for ip in self._peers.choose(now, 1)[:1])
+        self._commands.extend(FetchKnowledge(ip) for ip in self._peers.choose_source(now))
 
     def _answer_token(self, ip: str, token: int, now: float) -> None:
         backend = self._backends.by_token(token)
--- a/sloepond/core/forwarding/peer_messages.py
+++ b/sloepond/core/forwarding/peer_messages.py
@@ -135,3 +135,16 @@
     backends: tuple[KnownBackend, ...]
     backends_age_s: float
     revision: int = 0
+
+
+class KnowledgeAsked(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Asked on a stream: all that the other one knows."""
+
+
+class RoutesAsked(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Asked on a stream: the differences since a version of the routes."""
+
+    version: int
+
+
+StreamQuestion = KnowledgeAsked | RoutesAsked
--- a/sloepond/core/forwarding/peers.py
+++ b/sloepond/core/forwarding/peers.py
@@ -117,10 +117,22 @@
         others = [ip for ip in self.choose(now, FANOUT) if ip not in chosen]
         return chosen + others[: FANOUT - len(chosen)]
 
-    def share(self, now: float) -> tuple[str, ...]:
-        """Return a few living peers for a heartbeat to carry."""
-        alive = [peer.ip for peer in self._peers.values() if now - peer.heard_at < SILENT_S]
-        return tuple(self._random.sample(alive, min(SHARED_PEERS, len(alive))))
+    def choose_source(self, now: float) -> list[str]:
+        """Return the address of a peer to fetch much from: one in the same zone if possible."""
+        alive = [peer for peer in self._peers.values() if self._is_alive(peer, now)]
+        near = [peer.ip for peer in alive if peer.zone == self._zone]
+        return [self._random.choice(near)] if near else self.choose(now, 1)[:1]
+
+    def share(self, now: float, zone: str = "") -> tuple[str, ...]:
+        """Return a few living peers for a heartbeat to carry.
+
+        :param zone: zone of the receiver, whose peers it needs most; empty for any.
+        """
+        alive = [peer for peer in self._peers.values() if now - peer.heard_at < SILENT_S]
+        near = [peer.ip for peer in alive if peer.zone == zone]
+        shared = self._random.sample(near, min(SHARED_PEERS - 1, len(near)))
+        others = [peer.ip for peer in alive if peer.ip not in shared]
+        return (*shared, *self._random.sample(others, min(SHARED_PEERS - len(shared), len(others))))
 
     @staticmethod
     def _is_alive(peer: Peer, now: float) -> bool:
--- a/sloepond/core/forwarding/reachability.py
+++ b/sloepond/core/forwarding/reachability.py
@@ -7,7 +7,16 @@
 
 from __future__ import annotations
 
-from sloepond.core.forwarding.backends import DEPARTED_MEMORY_S, BackendState, ForwardingBackend
+import random
+
+from sloepond.core.forwarding.backends import (
+    DEPARTED_MEMORY_S,
+    BackendDirectory,
+    BackendState,
+    Endpoint,
+    ForwardingBackend,
+)
+from sloepond.core.forwarding.events import CheckResult
 
 CHECK_INTERVAL_S = 1.0
 """Least time between two checks of one back end."""
@@ -15,6 +24,10 @@
 """Checks of all back ends together, over a longer time and at once: callers cannot cause more."""
 UNREACHABLE_S = 4.0
 """How long a verdict on a back end that is listed stands."""
+AVOIDED_S = 0.6
+"""How long a back end that is being checked is given no new flows."""
+CONTROL_DRAWS = 8
+"""How many back ends are looked at for one to be reached meanwhile."""
 SUSPECTED_S = 3.0
 """How long a peer's word counts."""
 
@@ -22,7 +35,9 @@
 class Reachability:
     """Limits checks and keeps their verdicts."""
 
-    def __init__(self) -> None:
+    def __init__(self, backends: BackendDirectory, random_source: random.Random) -> None:
+        self._backends = backends
+        self._random = random_source
         self._allowed = CHECKS_PER_S
         self._refilled_at = 0.0
 
@@ -36,13 +51,30 @@
             return False
         self._allowed -= 1.0
         backend.checked_at = now
+        backend.silent_until = max(backend.silent_until, now + AVOIDED_S)
         return True
 
-    def checked(self, backend: ForwardingBackend, is_reachable: bool, now: float) -> None:
+    def control(self, suspect: ForwardingBackend, now: float) -> Endpoint | None:
+        """Return a back end that is listed and not suspected itself, in the same zone if possible."""
+        listed = [backend for backend in self._backends if backend.state is BackendState.READY]
+        drawn = self._random.sample(listed, min(CONTROL_DRAWS, len(listed)))
+        usable = [
+            backend
+            for backend in drawn
+            if backend.endpoint != suspect.endpoint
+            and backend.silent_until <= now
+            and not backend.is_unreachable(now)
+        ]
+        usable.sort(key=lambda backend: backend.zone != suspect.zone)
+        return usable[0].endpoint if usable else None
+
+    def checked(self, backend: ForwardingBackend, result: CheckResult, now: float) -> None:
         """Take the result of a check."""
+        if result is CheckResult.UNKNOWN:
+            return
         backend.suspected_until = 0.0
-        if is_reachable:
-            backend.unreachable_until = 0.0
+        if result is CheckResult.REACHABLE:
+            backend.silent_until = 0.0
             return
         lasts_s = DEPARTED_MEMORY_S if backend.state is BackendState.DEPARTED else UNREACHABLE_S
         backend.unreachable_until = now + lasts_s
--- a/sloepond/core/forwarding/route_delta.py
+++ b/sloepond/core/forwarding/route_delta.py
@@ -67,11 +67,11 @@
         return None
 
     def chain(self, base: int, version: int) -> tuple[RouteDelta, ...]:
-        """Return deltas that lead from one version to another, empty where they cannot be sent."""
+        """Return deltas that lead from one version to another, empty where not all are kept."""
         deltas: list[RouteDelta] = []
         while base != version:
             delta = self._deltas.get(base)
-            if delta is None or not delta.fits_datagram or delta.version <= base:
+            if delta is None or delta.version <= base:
                 return ()
             deltas.append(delta)
             base = delta.version
--- a/sloepond/runtime/forwarding/peer_channel.py
+++ b/sloepond/runtime/forwarding/peer_channel.py
@@ -1,4 +1,4 @@
-"""What balancers say to each other: datagrams, and a stream for all that one knows."""
+"""What balancers say to each other: datagrams, and streams for what is large."""
 
 from __future__ import annotations
 
@@ -11,21 +11,31 @@
 from sloepond.core.forwarding.events import (
     Event,
     FetchKnowledge,
+    FetchRoutes,
     KnowledgeReceived,
     PeerMessageReceived,
+    RoutesTold,
     SendToPeer,
 )
 from sloepond.core.forwarding.node import ForwardingNode
-from sloepond.core.forwarding.peer_messages import Knowledge, PeerMessage
+from sloepond.core.forwarding.peer_messages import (
+    Knowledge,
+    KnowledgeAsked,
+    PeerMessage,
+    RoutesAsked,
+    StreamQuestion,
+)
+from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.runtime.clock import monotonic_seconds
 
 MAXIMUM_DATAGRAM_BYTES = 2_048
 BATCH_DATAGRAMS = 64
-FETCH_TIMEOUT_S = 1.0
-MAXIMUM_KNOWLEDGE_BYTES = 64 * 1024 * 1024
+FETCH_TIMEOUT_S = 2.5
+MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024
+MAXIMUM_QUESTION_BYTES = 256
 READ_BYTES = 65_536
 MAXIMUM_STREAMS = 8
-"""Fresh balancers served at once."""
+"""Streams of peers served at once."""
 
 
 class PeerChannel:
@@ -51,6 +61,8 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._messages = msgspec.msgpack.Decoder(PeerMessage)
         self._knowledge = msgspec.msgpack.Decoder(Knowledge)
+        self._deltas = msgspec.msgpack.Decoder(tuple[RouteDelta, ...])
+        self._questions = msgspec.msgpack.Decoder(StreamQuestion)
 
     async def run(self) -> None:
         """Take what peers send until cancelled."""
@@ -67,15 +79,21 @@
         except OSError:
             self._node.counters.sends_failed += 1
 
-    async def fetch_knowledge(self, command: FetchKnowledge) -> None:
-        """Ask a peer for all it knows; nothing happens where it does not answer."""
+    async def fetch(self, command: FetchKnowledge | FetchRoutes) -> None:
+        """Ask a peer for something large; nothing happens where it does not answer."""
         with trio.move_on_after(FETCH_TIMEOUT_S):
             try:
-                received = await self._read_stream(command.ip)
-                knowledge = self._knowledge.decode(received)
+                event = await self._fetch(command)
             except (OSError, msgspec.MsgspecError):
                 return
-            self._dispatch(KnowledgeReceived(command.ip, knowledge))
+            self._dispatch(event)
+
+    async def _fetch(self, command: FetchKnowledge | FetchRoutes) -> KnowledgeReceived | RoutesTold:
+        if isinstance(command, FetchRoutes):
+            received = await self._ask(command.ip, RoutesAsked(command.version))
+            return RoutesTold(command.ip, self._deltas.decode(received))
+        received = await self._ask(command.ip, KnowledgeAsked())
+        return KnowledgeReceived(command.ip, self._knowledge.decode(received))
 
     def _drain(self) -> None:
         for _ in range(BATCH_DATAGRAMS):
@@ -90,18 +108,12 @@
                 continue
             self._dispatch(PeerMessageReceived(source[0], message))
 
-    async def _read_stream(self, ip: str) -> bytes:
-        parts: list[bytes] = []
-        size = 0
+    async def _ask(self, ip: str, question: StreamQuestion) -> bytes:
         with trio.socket.socket() as stream:
             await stream.connect((ip, self._port))
-            while size < MAXIMUM_KNOWLEDGE_BYTES:
-                part = await stream.recv(READ_BYTES)
-                if not part:
-                    break
-                parts.append(part)
-                size += len(part)
-        return b"".join(parts)
+            await stream.send(self._encoder.encode(question))
+            stream.shutdown(trio.socket.SHUT_WR)
+            return await _read_to_end(stream, MAXIMUM_ANSWER_BYTES)
 
     async def _serve_streams(self) -> None:
         listening = trio.socket.from_stdlib_socket(self._streams)
@@ -113,18 +125,37 @@
                 except OSError:
                     await trio.sleep(0.05)
                     continue
-                nursery.start_soon(self._tell_all, stream, limit)
+                nursery.start_soon(self._answer, stream, limit)
 
-    async def _tell_all(self, stream: trio.socket.SocketType, limit: trio.CapacityLimiter) -> None:
+    async def _answer(self, stream: trio.socket.SocketType, limit: trio.CapacityLimiter) -> None:
         with stream:
             async with limit:
-                knowledge = self._node.peer_knowledge(monotonic_seconds())
-                if knowledge is None:
-                    return
-                data = self._encoder.encode(knowledge)
                 with trio.move_on_after(FETCH_TIMEOUT_S):
                     try:
+                        question = self._questions.decode(await _read_to_end(stream, MAXIMUM_QUESTION_BYTES))
+                        data = self._encode_answer(question)
                         while data:
                             data = data[await stream.send(data) :]
-                    except OSError:
+                    except (OSError, msgspec.MsgspecError):
                         return
+
+    def _encode_answer(self, question: StreamQuestion) -> bytes:
+        """Return the answer, empty where nothing is known here."""
+        if isinstance(question, RoutesAsked):
+            deltas = self._node.routes_since(question.version)
+            return self._encoder.encode(deltas) if deltas else b""
+        knowledge = self._node.peer_knowledge(monotonic_seconds())
+        return self._encoder.encode(knowledge) if knowledge is not None else b""
+
+
+async def _read_to_end(stream: trio.socket.SocketType, most: int) -> bytes:
+    """Return all that the other end sends, at most so many bytes and one read more."""
+    parts: list[bytes] = []
+    size = 0
+    while size < most:
+        part = await stream.recv(READ_BYTES)
+        if not part:
+            break
+        parts.append(part)
+        size += len(part)
+    return b"".join(parts)
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -13,6 +13,7 @@
     CompleteStop,
     Event,
     FetchKnowledge,
+    FetchRoutes,
     ForwardHeld,
     LogKind,
     PeersJoined,
@@ -33,7 +34,7 @@
 from sloepond.runtime.forwarding.log_writer import LogWriter
 from sloepond.runtime.forwarding.metrics import metrics_page
 from sloepond.runtime.forwarding.peer_channel import PeerChannel
-from sloepond.runtime.forwarding.reachability_check import is_reachable
+from sloepond.runtime.forwarding.reachability_check import check_reachable
 from sloepond.runtime.forwarding.reloading import CHECK_INTERVAL_S, SettingsReloader
 from sloepond.runtime.forwarding.store_client import StoreClient
 
@@ -111,8 +112,8 @@
                 self._nursery.start_soon(self._check_backend, command)
             elif isinstance(command, SendToPeer):
                 self._peers.send(command)
-            elif isinstance(command, FetchKnowledge):
-                self._nursery.start_soon(self._peers.fetch_knowledge, command)
+            elif isinstance(command, FetchKnowledge | FetchRoutes):
+                self._nursery.start_soon(self._peers.fetch, command)
             elif isinstance(command, ForwardHeld):
                 for datagram in command.datagrams:
                     self._data_path.packet(datagram, monotonic_seconds())
@@ -120,7 +121,8 @@
                 self._nursery.cancel_scope.cancel()
 
     async def _check_backend(self, command: CheckBackend) -> None:
-        self.dispatch(BackendChecked(command.name, await is_reachable(command.endpoint)))
+        result = await check_reachable(command.endpoint, command.control)
+        self.dispatch(BackendChecked(command.name, result))
 
     async def _call_store(self, command: ReadSubject | WatchSubject | ProbeStore) -> None:
         counters = self._node.counters
