--- a/sloepond/core/forwarding/flow_observer.py
+++ b/sloepond/core/forwarding/flow_observer.py
@@ -10,6 +10,7 @@
 import collections
 
 from sloepond.core.forwarding.backends import ForwardingBackend
+from sloepond.core.forwarding.latency import LatencyHistogram
 from sloepond.core.forwarding.packets import Segment
 
 MAXIMUM_FLOWS = 20_000
@@ -26,24 +27,32 @@
 
     :ivar acknowledged: last acknowledgement seen, 0 for none.
     :ivar sequence: of the last data seen, -1 for none.
+    :ivar opened_at: time of the opening packet, 0 for none or once another has followed.
     :ivar requested_at: time of the request under way, 0 for none; a new flow counts as
         one request.
     """
 
-    __slots__ = ("acknowledged", "backend", "last_seen", "requested_at", "sequence")
+    __slots__ = ("acknowledged", "backend", "last_seen", "opened_at", "requested_at", "sequence")
 
     def __init__(self, backend: ForwardingBackend, now: float) -> None:
         self.backend = backend
         self.last_seen = now
         self.acknowledged = 0
+        self.opened_at = 0.0
         self.requested_at = 0.0
         self.sequence = -1
 
 
 class FlowObserver:
-    """Counts flows and requests of each back end."""
+    """Counts flows and requests of each back end.
+
+    :ivar opening_latency: from an opening packet to the next packet of the flow.
+    :ivar request_latency: from a request to the first acknowledgement of its answer.
+    """
 
     def __init__(self) -> None:
+        self.opening_latency = LatencyHistogram()
+        self.request_latency = LatencyHistogram()
         self._flows: collections.OrderedDict[int, ObservedFlow] = collections.OrderedDict()
         self._busy: dict[int, ObservedFlow] = {}
 
@@ -60,6 +69,7 @@
         key = segment.flow_key
         self._remove(key)
         flow = self._add(key, backend, now)
+        flow.opened_at = now
         self._request_sent(key, flow, now)
 
     def packet(self, segment: Segment, backend: ForwardingBackend, now: float) -> bool:
@@ -71,6 +81,9 @@
             flow = self._add(key, backend, now)
         flow.last_seen = now
         self._flows.move_to_end(key)
+        if flow.opened_at:
+            self.opening_latency.observe(now - flow.opened_at)
+            flow.opened_at = 0.0
         if segment.is_closing or segment.is_reset:
             self._remove(key)
             return False
@@ -80,6 +93,8 @@
             flow.sequence = segment.sequence
             self._request_sent(key, flow, now)
         elif flow.acknowledged and segment.acknowledgement != flow.acknowledged:
+            if flow.requested_at:
+                self.request_latency.observe(now - flow.requested_at)
             self._answer_seen(key, flow)
         flow.acknowledged = segment.acknowledgement
         return is_repeated
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -42,6 +42,7 @@
 )
 from sloepond.core.forwarding.follower import NEVER, Follower
 from sloepond.core.forwarding.forwarder import Forwarder
+from sloepond.core.forwarding.latency import LatencyHistogram
 from sloepond.core.forwarding.news import News
 from sloepond.core.forwarding.packets import Segment
 from sloepond.core.forwarding.peer_exchange import PeerExchange
@@ -144,6 +145,15 @@
         """Flows seen lately."""
         return len(self._forwarder.observer)
 
+    @property
+    def latencies(self) -> dict[str, LatencyHistogram]:
+        """Latencies seen in callers' packets, by the name of the metric."""
+        observer = self._forwarder.observer
+        return {
+            "opening_seconds": observer.opening_latency,
+            "request_seconds": observer.request_latency,
+        }
+
     def routes_age(self, now: float) -> float:
         """Return seconds since the store or a reader of it confirmed the routes."""
         return self._dissemination.age(Subject.ROUTES, now)
--- a/sloepond/runtime/forwarding/metrics.py
+++ b/sloepond/runtime/forwarding/metrics.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from sloepond.core.forwarding.latency import BOUNDS_S, LatencyHistogram
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.runtime.forwarding.http_server import Page
 
@@ -11,7 +12,7 @@
 
 
 def metrics_page(node: ForwardingNode, now: float) -> Page:
-    """Return all counters and gauges of a node."""
+    """Return all counters, gauges and histograms of a node."""
     lines = [
         f"{PREFIX}{name}_total {getattr(node.counters, name)}"
         for name in (field.name for field in msgspec.structs.fields(node.counters))
@@ -27,4 +28,17 @@
         f"{backend.in_flight}"
         for backend in node.backends
     )
+    for name, histogram in node.latencies.items():
+        lines.extend(_histogram_lines(f"{PREFIX}{name}", histogram))
     return Page(200, "\n".join([*lines, ""]).encode(), "text/plain; version=0.0.4")
+
+
+def _histogram_lines(name: str, histogram: LatencyHistogram) -> list[str]:
+    """Return the lines of one histogram, in seconds."""
+    bounded = zip(BOUNDS_S, histogram.cumulative(), strict=True)
+    lines = [f"# TYPE {name} histogram"]
+    lines.extend(f'{name}_bucket{{le="{bound}"}} {count}' for bound, count in bounded)
+    lines.append(f'{name}_bucket{{le="+Inf"}} {histogram.count}')
+    lines.append(f"{name}_sum {histogram.total_s:.6f}")
+    lines.append(f"{name}_count {histogram.count}")
+    return lines
