--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -18,7 +18,7 @@
 import sys
 import time
 
-from sloepond.core.forwarding.backends import BackendRecord, BackendState
+from sloepond.core.forwarding.backend_records import BackendRecord, BackendState
 from sloepond.core.forwarding.events import BackendsRead, RoutesRead
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.core.forwarding.routes import Route, RouteConfiguration, Share
--- a/features/steps/forwarding_fleet.py
+++ b/features/steps/forwarding_fleet.py
@@ -8,28 +8,30 @@
 
 from forwarding_model import record
 
-from sloepond.core.forwarding.backends import BackendState
+from sloepond.core.forwarding.backend_records import BackendState
+from sloepond.core.forwarding.commands import (
+    FetchKnowledge,
+    FetchRoutes,
+    ProbeStore,
+    ReadSubject,
+    SendToPeer,
+    WatchSubject,
+)
 from sloepond.core.forwarding.events import (
     BackendsChanged,
     BackendsRead,
     DepartedBackend,
-    FetchKnowledge,
-    FetchRoutes,
     KnowledgeReceived,
     PeerMessageReceived,
     PeersJoined,
-    ProbeStore,
-    ReadSubject,
     RoutesChanged,
     RoutesRead,
     RoutesTold,
-    SendToPeer,
     StoreCallFailed,
     StoreFailure,
     StoreProbed,
     Subject,
     TimerFired,
-    WatchSubject,
 )
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.core.forwarding.readers import Role
--- a/features/steps/forwarding_model.py
+++ b/features/steps/forwarding_model.py
@@ -4,16 +4,9 @@
 
 import random
 
-from sloepond.core.forwarding.backends import BackendRecord, BackendState
-from sloepond.core.forwarding.events import (
-    BackendsRead,
-    PeersJoined,
-    ReadSubject,
-    RoutesRead,
-    Subject,
-    TimerFired,
-    WatchSubject,
-)
+from sloepond.core.forwarding.backend_records import BackendRecord, BackendState
+from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
+from sloepond.core.forwarding.events import BackendsRead, PeersJoined, RoutesRead, Subject, TimerFired
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.core.forwarding.packets import Segment
 from sloepond.core.forwarding.readers import CHECK_INTERVAL_S, CLAIM_WAIT_S, START_S, URGENT_DELAY_S, Role
--- a/features/steps/forwarding_placement_steps.py
+++ b/features/steps/forwarding_placement_steps.py
@@ -24,12 +24,12 @@
 from hypothesis import strategies as st
 
 from sloepond.core.forwarding.admission import LONGEST_HOLD_S
-from sloepond.core.forwarding.backends import BackendState
+from sloepond.core.forwarding.backend_records import BackendState
+from sloepond.core.forwarding.commands import ForwardHeld
 from sloepond.core.forwarding.events import (
     BackendsChanged,
     BackendsRead,
     DepartedBackend,
-    ForwardHeld,
     OpeningHeld,
     TimerFired,
 )
--- a/features/steps/forwarding_platform_steps.py
+++ b/features/steps/forwarding_platform_steps.py
@@ -13,18 +13,18 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from sloepond.core.forwarding.backends import BackendRecord, BackendState, ForwardingBackend, token_of
+from sloepond.core.forwarding.backend import ForwardingBackend, token_of
+from sloepond.core.forwarding.backend_records import BackendRecord, BackendState
+from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
 from sloepond.core.forwarding.events import (
     BackendsChanged,
     BackendsRead,
     DepartedBackend,
-    ReadSubject,
     RoutesChanged,
     RoutesRead,
     StoreCallFailed,
     StoreFailure,
     Subject,
-    WatchSubject,
 )
 from sloepond.core.forwarding.routes import Share
 from sloepond.platform.packet_codec import EchoPacketCodec
--- a/features/steps/forwarding_reachability_steps.py
+++ b/features/steps/forwarding_reachability_steps.py
@@ -12,16 +12,16 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from sloepond.core.forwarding.backends import BackendDirectory, BackendState, Endpoint
+from sloepond.core.forwarding.backend_records import BackendState, Endpoint
+from sloepond.core.forwarding.backends import BackendDirectory
+from sloepond.core.forwarding.commands import CheckBackend, SendToPeer
 from sloepond.core.forwarding.events import (
     BackendChecked,
     BackendsChanged,
     BackendSuspected,
-    CheckBackend,
     CheckResult,
     DepartedBackend,
     PeerMessageReceived,
-    SendToPeer,
     TimerFired,
 )
 from sloepond.core.forwarding.packets import Refusal
--- a/features/steps/forwarding_readers_steps.py
+++ b/features/steps/forwarding_readers_steps.py
@@ -11,7 +11,8 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from sloepond.core.forwarding.backends import BackendDirectory, BackendState
+from sloepond.core.forwarding.backend_records import BackendState
+from sloepond.core.forwarding.backends import BackendDirectory
 from sloepond.core.forwarding.news import News
 from sloepond.core.forwarding.readers import READERS, Role
 from sloepond.core.forwarding.route_delta import difference
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -10,23 +10,25 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from sloepond.core.forwarding.backends import BackendState
-from sloepond.core.forwarding.events import (
-    BackendsRead,
+from sloepond.core.forwarding.backend_records import BackendState
+from sloepond.core.forwarding.commands import (
     CompleteStop,
     FetchKnowledge,
+    ReadSubject,
+    SendToPeer,
+    WatchSubject,
+)
+from sloepond.core.forwarding.events import (
+    BackendsRead,
     KnowledgeReceived,
     PeerMessageReceived,
-    ReadSubject,
     RoutesChanged,
     RoutesRead,
-    SendToPeer,
     StopRequested,
     StoreCallFailed,
     StoreFailure,
     Subject,
     TimerFired,
-    WatchSubject,
 )
 from sloepond.core.forwarding.follower import CONFIRM_AFTER_S, Follower
 from sloepond.core.forwarding.node import STALL_TRUST_S, STOP_FORWARD_S
--- a/features/steps/forwarding_token_steps.py
+++ b/features/steps/forwarding_token_steps.py
@@ -10,19 +10,14 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from sloepond.core.forwarding.backends import (
-    DEPARTED_MEMORY_S,
-    TOKEN_MASK,
-    BackendDirectory,
-    BackendState,
-    token_of,
-)
+from sloepond.core.forwarding.backend import TOKEN_MASK, token_of
+from sloepond.core.forwarding.backend_records import BackendState
+from sloepond.core.forwarding.backends import DEPARTED_MEMORY_S, BackendDirectory
+from sloepond.core.forwarding.commands import ForwardHeld, SendToPeer
 from sloepond.core.forwarding.events import (
     BackendsRead,
-    ForwardHeld,
     PeerMessageReceived,
     RoutesRead,
-    SendToPeer,
     TimerFired,
     UnknownTokenMet,
 )
--- a/features/steps/runtime_daemon.py
+++ b/features/steps/runtime_daemon.py
@@ -11,8 +11,8 @@
 from hypothesis import settings
 
 from sloepond.core import commands, events, packets
-from sloepond.core.context import NEVER
 from sloepond.core.counters import Counters
+from sloepond.core.deadlines import NEVER
 from sloepond.runtime.daemon import BalancerDaemon
 from sloepond.runtime.settings_file import check_settings
 from sloepond.wire.edge import decode_caller_reply, encode_packet
--- a/features/steps/runtime_steps.py
+++ b/features/steps/runtime_steps.py
@@ -19,7 +19,7 @@
 from runtime_peer import HEARTBEAT, RECORDED, Peer
 
 from sloepond.core import commands, events, messages, packets
-from sloepond.core.context import NEVER
+from sloepond.core.deadlines import NEVER
 from sloepond.resources.compiled import make_snapshot
 from sloepond.resources.model import API_VERSION, ConfigurationSnapshot, Location, Metadata, Region
 from sloepond.runtime.peer_outbox import PeerOutbox
--- a/features/steps/runtime_timing_steps.py
+++ b/features/steps/runtime_timing_steps.py
@@ -6,7 +6,7 @@
 import trio.testing
 from behave import then, when
 
-from sloepond.core.context import NEVER
+from sloepond.core.deadlines import NEVER
 from sloepond.lab.bench.bare_loop import BareLoop
 from sloepond.lab.bench.memory import measure_memory
 from sloepond.runtime.deadline_task import DeadlineTask
--- a/sloepond/core/context.py
+++ b/sloepond/core/context.py
@@ -11,11 +11,9 @@
 
 from sloepond.core.commands import Command, RecordTransition, SendToPeer, TransitionKind
 from sloepond.core.counters import Counters
+from sloepond.core.deadlines import NEVER as NEVER
 from sloepond.core.messages import Member, PeerMessage
 
-NEVER = float("inf")
-"""Deadline of a component that waits for no time."""
-
 
 class NodeContext:
     """Shared state of one node's components.
--- a/sloepond/core/forwarding/admission.py
+++ b/sloepond/core/forwarding/admission.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from sloepond.core.forwarding.backends import ForwardingBackend
+from sloepond.core.forwarding.backend import ForwardingBackend
 from sloepond.core.forwarding.packets import Segment
 
 QUEUE_PER_BACKEND = 6
--- a/sloepond/core/forwarding/backends.py
+++ b/sloepond/core/forwarding/backends.py
@@ -2,175 +2,19 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Iterable, Iterator, Sequence
-from typing import NamedTuple
-
-import msgspec
 
+from sloepond.core.deadlines import NEVER
+from sloepond.core.forwarding.backend import ForwardingBackend
+from sloepond.core.forwarding.backend_records import BackendRecord, BackendState, Endpoint
 from sloepond.core.forwarding.change_index import ChangeIndex
-from sloepond.core.forwarding.packets import Refusal
 from sloepond.core.forwarding.places import ANYWHERE, PlaceRules
 
-TOKEN_BITS = 32
-TOKEN_MASK = (1 << TOKEN_BITS) - 1
-NO_TOKEN = 0
-"""Stands in packets that carry no token."""
-NEVER = float("inf")
 DEPARTED_MEMORY_S = 90.0
 """How long a departed back end keeps its token: the life of a flow and a margin.
 A back end may serve on after it has left the list."""
 
 
-class Endpoint(NamedTuple):
-    """Address and port, as sockets take them."""
-
-    host: str
-    port: int
-
-
-class BackendState(enum.IntEnum):
-    """What a back end has said of itself."""
-
-    READY = 0
-    LEAVING = 1
-    DEPARTED = 2
-    """No longer listed; its flows are still forwarded to it."""
-
-
-class BackendRecord(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """One back end as it is listed and as peers pass it on.
-
-    :ivar number: identity of this start of it, never used again (64 bits).
-    :ivar slots: requests it works on at once.
-    :ivar cold_s: seconds until it is as fast as the others.
-    :ivar revision: revision of the list at which this was written.
-    """
-
-    name: str
-    number: int
-    service: str
-    host: str
-    port: int
-    zone: str
-    slots: int
-    state: BackendState
-    cold_s: float = 0.0
-    revision: int = 0
-
-
-class Decision(msgspec.Struct, frozen=True):
-    """What becomes of a packet.
-
-    :ivar backend: where it goes; None where it is refused.
-    :ivar refusal: why it goes nowhere.
-    :ivar reset: whether the caller is told at once that its flow was not opened.
-    :ivar lookup: whether peers are asked for the token before the packet is dropped.
-    :ivar hold: whether the packet waits for room at a back end.
-    :ivar suspect: name of a back end that may be gone and is to be checked.
-    """
-
-    backend: ForwardingBackend | None = None
-    refusal: Refusal | None = None
-    reset: bool = False
-    lookup: bool = False
-    hold: bool = False
-    suspect: str = ""
-
-
-class ForwardingBackend:
-    """One start of a back end.
-
-    :ivar token: routing token, never 0.
-    :ivar prefix: identity in front of each packet (8 bytes), so that another
-        start at the same address does not take it.
-    :ivar warm_at: time from which it is as fast as the others.
-    :ivar departed_at: time at which it was found to be listed no longer.
-    :ivar said_leaving: whether it has said that it leaves.
-    :ivar flows: flows opened through this balancer and not closed.
-    :ivar in_flight: requests seen through this balancer without an answer.
-    :ivar decision: the decision to forward to it.
-    :ivar suspicious_decision: the same, and that it is to be checked.
-    :ivar silent_until: time until which it is passed over for its silence.
-    :ivar checked_at: when it was last checked.
-    :ivar suspected_until: time until which a peer's word makes it to be checked.
-    :ivar unreachable_until: time until which its flows are reset.
-    """
-
-    __slots__ = (
-        "name", "number", "service", "endpoint", "zone", "slots", "state", "token", "prefix",
-        "warm_at", "departed_at", "said_leaving", "revision", "flows", "in_flight",
-        "silent_until", "token_bytes", "decision", "suspicious_decision", "checked_at",
-        "suspected_until", "unreachable_until",
-    )  # fmt: skip
-
-    def __init__(self, record: BackendRecord, now: float) -> None:
-        self.name = record.name
-        self.number = record.number
-        self.service = record.service
-        self.endpoint = Endpoint(record.host, record.port)
-        self.zone = record.zone
-        self.token = token_of(record.number)
-        self.token_bytes = self.token.to_bytes(4, "big")
-        self.prefix = record.number.to_bytes(8, "big")
-        self.decision = Decision(self)
-        self.suspicious_decision = Decision(self, suspect=record.name)
-        self.checked_at = -NEVER
-        self.suspected_until = 0.0
-        self.unreachable_until = 0.0
-        self.flows = 0
-        self.in_flight = 0
-        self.silent_until = 0.0
-        self.departed_at = now
-        self.said_leaving = False
-        self.update(record, now)
-
-    def update(self, record: BackendRecord, now: float) -> None:
-        """Take what the back end says of itself now."""
-        self.slots = max(1, record.slots)
-        self.state = record.state
-        if record.state is BackendState.LEAVING:
-            self.said_leaving = True
-        self.warm_at = now + record.cold_s
-        self.revision = record.revision
-        self.suspected_until = 0.0
-        self.unreachable_until = 0.0
-
-    def is_unreachable(self, now: float) -> bool:
-        """Tell whether its flows are reset."""
-        return self.unreachable_until > now
-
-    @property
-    def has_vanished(self) -> bool:
-        """Whether it has left the list without having said so."""
-        return self.state is BackendState.DEPARTED and not self.said_leaving
-
-    def departed_s(self, now: float) -> float:
-        """Return seconds since it left the list, 0 if it is listed."""
-        return now - self.departed_at if self.state is BackendState.DEPARTED else 0.0
-
-    def record(self, now: float) -> BackendRecord:
-        """Return what a peer needs to know this back end."""
-        return BackendRecord(
-            self.name,
-            self.number,
-            self.service,
-            self.endpoint.host,
-            self.endpoint.port,
-            self.zone,
-            self.slots,
-            self.state,
-            max(0.0, self.warm_at - now),
-            self.revision,
-        )
-
-
-def token_of(number: int) -> int:
-    """Return the routing token of an identity: 32 bits, the same everywhere, never 0."""
-    folded = (number ^ number >> TOKEN_BITS) & TOKEN_MASK
-    return folded or TOKEN_MASK
-
-
 class BackendDirectory:
     """All back ends known, also those that leave or have departed.
 
--- a/sloepond/core/forwarding/dissemination.py
+++ b/sloepond/core/forwarding/dissemination.py
@@ -6,16 +6,10 @@
 
 import msgspec
 
+from sloepond.core.deadlines import NEVER
+from sloepond.core.forwarding.commands import Command, FetchRoutes, LogKind, ProbeStore, SendToPeer, WriteLog
 from sloepond.core.forwarding.counters import ForwardingCounters
-from sloepond.core.forwarding.events import (
-    Command,
-    FetchRoutes,
-    LogKind,
-    ProbeStore,
-    SendToPeer,
-    Subject,
-    WriteLog,
-)
+from sloepond.core.forwarding.events import Subject
 from sloepond.core.forwarding.follower import Follower
 from sloepond.core.forwarding.news import News
 from sloepond.core.forwarding.peer_messages import (
@@ -47,7 +41,6 @@
 """Reads of the store by many for the same reason are spread over this time."""
 HEARS_PEERS_S = 2.0
 """Silence of all peers after which a balancer takes itself to be cut off."""
-NEVER = float("inf")
 
 
 class CatchUp(msgspec.Struct):
--- a/sloepond/core/forwarding/flow_observer.py
+++ b/sloepond/core/forwarding/flow_observer.py
@@ -9,7 +9,7 @@
 
 import collections
 
-from sloepond.core.forwarding.backends import ForwardingBackend
+from sloepond.core.forwarding.backend import ForwardingBackend
 from sloepond.core.forwarding.latency import LatencyHistogram
 from sloepond.core.forwarding.packets import Segment
 
--- a/sloepond/core/forwarding/follower.py
+++ b/sloepond/core/forwarding/follower.py
@@ -10,7 +10,9 @@
 
 import random
 
-from sloepond.core.forwarding.events import ReadSubject, StoreFailure, Subject, WatchSubject
+from sloepond.core.deadlines import NEVER
+from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
+from sloepond.core.forwarding.events import StoreFailure, Subject
 
 WATCH_WAIT_S = 25.0
 """How long one watch is held.  An answer that is lost is noticed after this at the
@@ -29,7 +31,6 @@
 CONFIRM_STALE_S = 1.5
 """Time after a first read that may be stale at which everything is read again, drawn
 from once to twice this."""
-NEVER = float("inf")
 
 StoreCall = ReadSubject | WatchSubject
 
--- a/sloepond/core/forwarding/forwarder.py
+++ b/sloepond/core/forwarding/forwarder.py
@@ -9,7 +9,8 @@
 import random
 
 from sloepond.core.forwarding.admission import Admission, HeldOpening
-from sloepond.core.forwarding.backends import NO_TOKEN, BackendDirectory, Decision, ForwardingBackend
+from sloepond.core.forwarding.backend import NO_TOKEN, Decision, ForwardingBackend
+from sloepond.core.forwarding.backends import BackendDirectory
 from sloepond.core.forwarding.counters import ForwardingCounters
 from sloepond.core.forwarding.flow_observer import FlowObserver
 from sloepond.core.forwarding.packets import Refusal, Segment
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -8,7 +8,18 @@
 
 import random
 
-from sloepond.core.forwarding.backends import BackendDirectory, BackendRecord, Decision
+from sloepond.core.deadlines import NEVER
+from sloepond.core.forwarding.backend import Decision
+from sloepond.core.forwarding.backend_records import BackendRecord
+from sloepond.core.forwarding.backends import BackendDirectory
+from sloepond.core.forwarding.commands import (
+    CheckBackend,
+    Command,
+    CompleteStop,
+    ForwardHeld,
+    LogKind,
+    WriteLog,
+)
 from sloepond.core.forwarding.counters import ForwardingCounters
 from sloepond.core.forwarding.dissemination import Dissemination
 from sloepond.core.forwarding.events import (
@@ -16,14 +27,9 @@
     BackendsChanged,
     BackendsRead,
     BackendSuspected,
-    CheckBackend,
     CheckResult,
-    Command,
-    CompleteStop,
     Event,
-    ForwardHeld,
     KnowledgeReceived,
-    LogKind,
     OpeningHeld,
     PeerMessageReceived,
     PeersJoined,
@@ -38,9 +44,8 @@
     Subject,
     TimerFired,
     UnknownTokenMet,
-    WriteLog,
 )
-from sloepond.core.forwarding.follower import NEVER, Follower
+from sloepond.core.forwarding.follower import Follower
 from sloepond.core.forwarding.forwarder import Forwarder
 from sloepond.core.forwarding.latency import LatencyHistogram
 from sloepond.core.forwarding.news import News
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -4,21 +4,19 @@
 
 import random
 
+from sloepond.core.deadlines import NEVER
 from sloepond.core.forwarding.backends import BackendDirectory
-from sloepond.core.forwarding.counters import ForwardingCounters
-from sloepond.core.forwarding.dissemination import Dissemination
-from sloepond.core.forwarding.events import (
+from sloepond.core.forwarding.commands import (
     Command,
     FetchKnowledge,
     ForwardHeld,
-    KnowledgeReceived,
     LogKind,
-    PeerMessageReceived,
     SendToPeer,
-    Subject,
-    UnknownTokenMet,
     WriteLog,
 )
+from sloepond.core.forwarding.counters import ForwardingCounters
+from sloepond.core.forwarding.dissemination import Dissemination
+from sloepond.core.forwarding.events import KnowledgeReceived, PeerMessageReceived, Subject, UnknownTokenMet
 from sloepond.core.forwarding.follower import Follower
 from sloepond.core.forwarding.peer_messages import (
     BackendUnreachable,
@@ -33,7 +31,7 @@
     TokenAsked,
     TokenFound,
 )
-from sloepond.core.forwarding.peers import HEARTBEAT_INTERVAL_S, NEVER, SHARED_PEERS, PeerTable
+from sloepond.core.forwarding.peers import HEARTBEAT_INTERVAL_S, SHARED_PEERS, PeerTable
 from sloepond.core.forwarding.reachability import Reachability
 from sloepond.core.forwarding.route_table import RouteTable
 from sloepond.core.forwarding.token_lookup import HOLD_S, TokenLookup
--- a/sloepond/core/forwarding/peer_messages.py
+++ b/sloepond/core/forwarding/peer_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from sloepond.core.forwarding.backends import BackendRecord
+from sloepond.core.forwarding.backend_records import BackendRecord
 from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.core.forwarding.routes import RouteConfiguration
 
--- a/sloepond/core/forwarding/peers.py
+++ b/sloepond/core/forwarding/peers.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from sloepond.core.deadlines import NEVER
 from sloepond.core.forwarding.peer_messages import Heartbeat
 
 HEARTBEAT_INTERVAL_S = 1.0
@@ -27,7 +28,6 @@
 TOLD_S = 3.0
 """How long a peer counts as alive because another one hears it.  Only peers heard by
 oneself are told of, so one that is gone is forgotten everywhere."""
-NEVER = float("inf")
 
 
 class Peer(msgspec.Struct):
--- a/sloepond/core/forwarding/reachability.py
+++ b/sloepond/core/forwarding/reachability.py
@@ -9,13 +9,9 @@
 
 import random
 
-from sloepond.core.forwarding.backends import (
-    DEPARTED_MEMORY_S,
-    BackendDirectory,
-    BackendState,
-    Endpoint,
-    ForwardingBackend,
-)
+from sloepond.core.forwarding.backend import ForwardingBackend
+from sloepond.core.forwarding.backend_records import BackendState, Endpoint
+from sloepond.core.forwarding.backends import DEPARTED_MEMORY_S, BackendDirectory
 from sloepond.core.forwarding.events import CheckResult
 
 CHECK_INTERVAL_S = 1.0
--- a/sloepond/core/forwarding/readers.py
+++ b/sloepond/core/forwarding/readers.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from sloepond.core.deadlines import NEVER
+
 READERS = 3
 """Readers a fleet has."""
 READER_SILENT_S = 2.5
@@ -37,7 +39,6 @@
 FAILING_S = 0.6
 """How long calls may fail before a reader gives the role up."""
 CHECK_INTERVAL_S = 0.2
-NEVER = float("inf")
 
 
 class Role(enum.Enum):
--- a/sloepond/core/forwarding/selection.py
+++ b/sloepond/core/forwarding/selection.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Sequence
 
-from sloepond.core.forwarding.backends import ForwardingBackend
+from sloepond.core.forwarding.backend import ForwardingBackend
 
 SAMPLE = 16
 """Back ends looked at for one choice; of more, a random few are."""
--- a/sloepond/core/forwarding/store_contact.py
+++ b/sloepond/core/forwarding/store_contact.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from sloepond.core.deadlines import NEVER
+
 INTERVAL_S = 0.9
 """Time between probes; any other answer of the store takes the place of one."""
-NEVER = float("inf")
 
 
 class StoreContact:
--- a/sloepond/core/health/backend_health.py
+++ b/sloepond/core/health/backend_health.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from sloepond.core.context import NEVER
+from sloepond.core.deadlines import NEVER
 
 CLAIMS_LIMIT = 3
 """Probes in a row, unhealthy or unanswered, that count as failing."""
--- a/sloepond/core/health/load_estimate.py
+++ b/sloepond/core/health/load_estimate.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from sloepond.core.context import NEVER
+from sloepond.core.deadlines import NEVER
 
 
 class LoadEstimate(msgspec.Struct, frozen=True, gc=False):
--- a/sloepond/core/routing/transfer.py
+++ b/sloepond/core/routing/transfer.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from sloepond.core.context import NEVER
+from sloepond.core.deadlines import NEVER
 from sloepond.core.messages import FlowEntry, FlowsTransferConfirmed, FlowsTransferred, Member
 from sloepond.core.packets import FlowKey
 from sloepond.core.routing.flow_table import entry_of
--- a/sloepond/core/timers.py
+++ b/sloepond/core/timers.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from sloepond.core.context import NEVER
+from sloepond.core.deadlines import NEVER
 
 TimerCallback = Callable[[Any], None]
 
--- a/sloepond/lab/baseline.py
+++ b/sloepond/lab/baseline.py
@@ -16,8 +16,8 @@
     SendToBackend,
     SendToCaller,
 )
-from sloepond.core.context import NEVER
 from sloepond.core.counters import Counters
+from sloepond.core.deadlines import NEVER
 from sloepond.core.events import (
     BackendReplyReceived,
     CallerPacketReceived,
--- a/sloepond/lab/token_node.py
+++ b/sloepond/lab/token_node.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from sloepond.core.commands import Command, CompleteStop, ReadConfiguration, SendToBackend, SendToCaller
-from sloepond.core.context import NEVER
 from sloepond.core.counters import Counters
+from sloepond.core.deadlines import NEVER
 from sloepond.core.events import (
     BackendReplyReceived,
     CallerPacketReceived,
@@ -23,9 +23,10 @@
     StopRequested,
     TimerFired,
 )
-from sloepond.core.forwarding.backends import BackendRecord, BackendState
-from sloepond.core.forwarding.events import BackendsRead, ForwardHeld, OpeningHeld, RoutesRead
-from sloepond.core.forwarding.events import Command as ForwardingCommand
+from sloepond.core.forwarding.backend_records import BackendRecord, BackendState
+from sloepond.core.forwarding.commands import Command as ForwardingCommand
+from sloepond.core.forwarding.commands import ForwardHeld
+from sloepond.core.forwarding.events import BackendsRead, OpeningHeld, RoutesRead
 from sloepond.core.forwarding.events import TimerFired as ForwardingTimerFired
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.core.forwarding.packets import PORT_BITS, Segment
--- a/sloepond/platform/balancer.py
+++ b/sloepond/platform/balancer.py
@@ -4,7 +4,7 @@
 
 import random
 
-from sloepond.core.forwarding.events import LogKind, WriteLog
+from sloepond.core.forwarding.commands import LogKind, WriteLog
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.platform.packet_codec import EchoPacketCodec
 from sloepond.platform.settings import read_settings
--- a/sloepond/platform/documents.py
+++ b/sloepond/platform/documents.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from sloepond.core.forwarding.backends import BackendRecord, BackendState
+from sloepond.core.forwarding.backend_records import BackendRecord, BackendState
 from sloepond.core.forwarding.packets import PORT_BITS
 from sloepond.core.forwarding.routes import Route, RouteConfiguration, Share
 
--- a/sloepond/platform/packet_codec.py
+++ b/sloepond/platform/packet_codec.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 
-from sloepond.core.forwarding.backends import ForwardingBackend
+from sloepond.core.forwarding.backend import ForwardingBackend
 from sloepond.core.forwarding.packets import Segment
 from sloepond.runtime.forwarding.drivers import PacketCodec
 
--- a/sloepond/platform/store.py
+++ b/sloepond/platform/store.py
@@ -6,19 +6,18 @@
 
 import msgspec
 
-from sloepond.core.forwarding.backends import BackendRecord
+from sloepond.core.forwarding.backend_records import BackendRecord
+from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
 from sloepond.core.forwarding.events import (
     BackendsChanged,
     BackendsRead,
     DepartedBackend,
-    ReadSubject,
     RoutesChanged,
     RoutesRead,
     StoreCallFailed,
     StoreEvent,
     StoreFailure,
     Subject,
-    WatchSubject,
 )
 from sloepond.platform.documents import (
     Item,
--- a/sloepond/runtime/deadline_task.py
+++ b/sloepond/runtime/deadline_task.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from sloepond.core.context import NEVER
+from sloepond.core.deadlines import NEVER
 
 MINIMUM_WAIT_S = 0.001
 """Shortest wait between two calls, so that a deadline in the past cannot spin."""
--- a/sloepond/runtime/forwarding/data_path.py
+++ b/sloepond/runtime/forwarding/data_path.py
@@ -5,7 +5,7 @@
 import socket
 from collections.abc import Callable
 
-from sloepond.core.forwarding.backends import Decision
+from sloepond.core.forwarding.backend import Decision
 from sloepond.core.forwarding.events import BackendSuspected, Event, OpeningHeld, UnknownTokenMet
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.core.forwarding.packets import Refusal, Segment
--- a/sloepond/runtime/forwarding/drivers.py
+++ b/sloepond/runtime/forwarding/drivers.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
-from sloepond.core.forwarding.backends import ForwardingBackend
-from sloepond.core.forwarding.events import ReadSubject, StoreEvent, Subject, WatchSubject
+from sloepond.core.forwarding.backend import ForwardingBackend
+from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
+from sloepond.core.forwarding.events import StoreEvent, Subject
 from sloepond.core.forwarding.packets import Segment
 
 
--- a/sloepond/runtime/forwarding/early.py
+++ b/sloepond/runtime/forwarding/early.py
@@ -16,15 +16,8 @@
 import h11
 import msgspec
 
-from sloepond.core.forwarding.events import (
-    Command,
-    Event,
-    ForwardHeld,
-    ReadSubject,
-    StoreEvent,
-    TimerFired,
-    WriteLog,
-)
+from sloepond.core.forwarding.commands import Command, ForwardHeld, ReadSubject, WriteLog
+from sloepond.core.forwarding.events import Event, StoreEvent, TimerFired
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.runtime.clock import monotonic_seconds
 from sloepond.runtime.forwarding.data_path import DataPath
--- a/sloepond/runtime/forwarding/log_writer.py
+++ b/sloepond/runtime/forwarding/log_writer.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from sloepond.core.forwarding.backends import ForwardingBackend
+from sloepond.core.forwarding.backend import ForwardingBackend
+from sloepond.core.forwarding.commands import LogKind, WriteLog
 from sloepond.core.forwarding.counters import ForwardingCounters
-from sloepond.core.forwarding.events import LogKind, WriteLog
 from sloepond.core.forwarding.packets import PORT_BITS, Refusal, Segment
 from sloepond.runtime.clock import monotonic_seconds
 
--- a/sloepond/runtime/forwarding/peer_channel.py
+++ b/sloepond/runtime/forwarding/peer_channel.py
@@ -8,15 +8,8 @@
 import msgspec
 import trio
 
-from sloepond.core.forwarding.events import (
-    Event,
-    FetchKnowledge,
-    FetchRoutes,
-    KnowledgeReceived,
-    PeerMessageReceived,
-    RoutesTold,
-    SendToPeer,
-)
+from sloepond.core.forwarding.commands import FetchKnowledge, FetchRoutes, SendToPeer
+from sloepond.core.forwarding.events import Event, KnowledgeReceived, PeerMessageReceived, RoutesTold
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.core.forwarding.peer_messages import (
     Knowledge,
--- a/sloepond/runtime/forwarding/reachability_check.py
+++ b/sloepond/runtime/forwarding/reachability_check.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from sloepond.core.forwarding.backends import Endpoint
+from sloepond.core.forwarding.backend_records import Endpoint
 from sloepond.core.forwarding.events import CheckResult
 
 TRIES_S = (0.0, 0.1, 0.2)
--- a/sloepond/runtime/forwarding/reloading.py
+++ b/sloepond/runtime/forwarding/reloading.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from sloepond.core.forwarding.events import LogKind, SettingsChanged, WriteLog
+from sloepond.core.forwarding.commands import LogKind, WriteLog
+from sloepond.core.forwarding.events import SettingsChanged
 from sloepond.runtime.forwarding.drivers import ForwardingSettings
 from sloepond.runtime.forwarding.log_writer import LogWriter
 
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -6,25 +6,21 @@
 
 import trio
 
-from sloepond.core.forwarding.events import (
-    BackendChecked,
+from sloepond.core.forwarding.commands import (
     CheckBackend,
     Command,
     CompleteStop,
-    Event,
     FetchKnowledge,
     FetchRoutes,
     ForwardHeld,
     LogKind,
-    PeersJoined,
     ProbeStore,
     ReadSubject,
     SendToPeer,
-    StopRequested,
-    TimerFired,
     WatchSubject,
     WriteLog,
 )
+from sloepond.core.forwarding.events import BackendChecked, Event, PeersJoined, StopRequested, TimerFired
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.runtime.clock import monotonic_seconds
 from sloepond.runtime.forwarding.data_path import DataPath
--- a/sloepond/runtime/forwarding/store_client.py
+++ b/sloepond/runtime/forwarding/store_client.py
@@ -6,14 +6,8 @@
 
 import trio
 
-from sloepond.core.forwarding.events import (
-    ReadSubject,
-    StoreCallFailed,
-    StoreEvent,
-    StoreFailure,
-    StoreProbed,
-    WatchSubject,
-)
+from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
+from sloepond.core.forwarding.events import StoreCallFailed, StoreEvent, StoreFailure, StoreProbed
 from sloepond.runtime.forwarding.drivers import StoreCodec
 from sloepond.runtime.forwarding.http_client import HttpClient
 from sloepond.runtime.forwarding.http_exchange import HttpFailure
--- a/sloepond/runtime/forwarding/store_pages.py
+++ b/sloepond/runtime/forwarding/store_pages.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from sloepond.core.forwarding.backends import BackendRecord
+from sloepond.core.forwarding.backend_records import BackendRecord
+from sloepond.core.forwarding.commands import ReadSubject
 from sloepond.core.forwarding.events import (
     BackendsRead,
-    ReadSubject,
     RoutesRead,
     StoreCallFailed,
     StoreEvent,
--- a/sloepond/runtime/probing.py
+++ b/sloepond/runtime/probing.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from sloepond.core.commands import ProbeBackend, SendToBackend
-from sloepond.core.context import NEVER
+from sloepond.core.deadlines import NEVER
 from sloepond.core.events import BackendProbed
 from sloepond.core.packets import (
     BackendPacket,
