--- a/sloepond/core/forwarding/dissemination.py
+++ b/sloepond/core/forwarding/dissemination.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sloepond.core.deadlines import NEVER
+from sloepond.core.forwarding.catch_up import CatchUp
 from sloepond.core.forwarding.commands import Command, FetchRoutes, LogKind, ProbeStore, SendToPeer, WriteLog
 from sloepond.core.forwarding.counters import ForwardingCounters
 from sloepond.core.forwarding.events import Subject
@@ -32,29 +33,12 @@
 """Time until it asks others."""
 NEWS_DELAY_S = 0.02
 """How long a reader gathers changes before it tells them."""
-CATCH_UP_S = (0.1, 0.2, 0.2, 0.2)
-"""Waits of a balancer that knows less than a peer: before it asks that peer, before it
-asks others, twice, and before it reads the store."""
 FETCH_INTERVAL_S = 0.5
 """How long a peer is given to tell large differences before another one is asked."""
-READ_SPREAD_S = 0.25
-"""Reads of the store by many for the same reason are spread over this time."""
 HEARS_PEERS_S = 2.0
 """Silence of all peers after which a balancer takes itself to be cut off."""
 
 
-class CatchUp(msgspec.Struct):
-    """Something a peer knows and this balancer does not.
-
-    :ivar peer: who knows it.
-    :ivar step: how many of the waits are over.
-    """
-
-    peer: str
-    due: float
-    step: int = 0
-
-
 class HeardConfirmation(msgspec.Struct, frozen=True):
     """The last confirmation of a reader and when it was heard."""
 
@@ -91,8 +75,7 @@
         self._fetch_again_at = -NEVER
         self._heard: dict[int, HeardConfirmation] = {}
         self._confirmed_at = dict.fromkeys(Subject, -NEVER)
-        self._told = dict.fromkeys(Subject, 0)
-        self._catching_up: dict[Subject, CatchUp] = {}
+        self._catch_up = CatchUp(news, followers, peers, counters, random_source)
         self._changed: list[KnownBackend] = []
         self._heard_peer_at = -NEVER
 
@@ -103,7 +86,7 @@
 
     def take_commands(self) -> list[Command]:
         """Return what is to be done, and forget it."""
-        commands, self._commands = self._commands, []
+        commands, self._commands = self._commands + self._catch_up.take_commands(), []
         return commands
 
     def take_changed(self) -> list[KnownBackend]:
@@ -117,13 +100,12 @@
 
     def next_deadline(self) -> float:
         """Return when `on_time` has something to do."""
-        catch_up = min((waiting.due for waiting in self._catching_up.values()), default=NEVER)
         return min(
             self.election.next_deadline(),
             self._contact.next_deadline(),
             self._confirm_at,
             self._pull_at,
-            catch_up,
+            self._catch_up.next_deadline(),
         )
 
     def on_time(self, now: float) -> None:
@@ -135,9 +117,7 @@
             self._confirm(now)
         if now >= self._pull_at:
             self._pull(now)
-        for subject, waiting in list(self._catching_up.items()):
-            if now >= waiting.due:
-                self._catch_up(subject, waiting, now)
+        self._catch_up.on_time(now)
 
     def news_taken(self, now: float) -> None:
         """Note that something new is known: a reader tells it soon."""
@@ -177,16 +157,12 @@
         is_new = self.election.heard(message.reader, message.rank, message.number, message.is_claim, now)
         if not is_new:
             return
-        if self.election.is_among_best(message.reader, now) or self._brings_news(message.changes):
+        if self.election.is_among_best(message.reader, now) or self._catch_up.brings_news(message.changes):
             self._send(self._peers.choose_near(now), message)
         if not message.is_claim:
             self._heard[message.reader] = HeardConfirmation(message, now)
             self._take(ip, message.changes, message.age_s, now)
 
-    def _brings_news(self, changes: Changes) -> bool:
-        newest = min(changes.changed_at, changes.revision)
-        return changes.routes_version > self._known(Subject.ROUTES) or newest > self._known(Subject.BACKENDS)
-
     def confirmations_asked(self, ip: str, now: float) -> None:
         """Tell a peer the last confirmations heard, with their age."""
         self._heard_peer_at = now
@@ -207,9 +183,13 @@
         self._heard_peer_at = now
         changes = message.changes
         self._take(ip, changes, NEVER, now)
-        if changes.route_delta is None and self._is_behind(Subject.ROUTES) and now >= self._fetch_again_at:
+        if (
+            changes.route_delta is None
+            and self._catch_up.is_behind(Subject.ROUTES)
+            and now >= self._fetch_again_at
+        ):
             self._fetch_again_at = now + FETCH_INTERVAL_S
-            self._commands.append(FetchRoutes(ip, self._known(Subject.ROUTES)))
+            self._commands.append(FetchRoutes(ip, self._catch_up.known(Subject.ROUTES)))
 
     def routes_told(self, ip: str, deltas: tuple[RouteDelta, ...], now: float) -> None:
         """Take differences of the routes that a peer was asked for."""
@@ -221,7 +201,7 @@
     def peer_heard(self, ip: str, routes_version: int, changed_at: int, now: float) -> None:
         """Compare what a peer says it knows."""
         self._heard_peer_at = now
-        self._compare(ip, Changes(routes_version, None, 0, changed_at, changed_at), now)
+        self._catch_up.compare(ip, Changes(routes_version, None, 0, changed_at, changed_at), now)
 
     def forget(self, now: float) -> None:
         """Forget readers that are gone."""
@@ -303,9 +283,9 @@
             follower.informed(revision, now)
         if changed:
             self.news_taken(now)
-        self._compare(ip, changes, now)
+        self._catch_up.compare(ip, changes, now)
         for subject in Subject:
-            if not self._is_behind(subject):
+            if not self._catch_up.is_behind(subject):
                 self._confirmed_at[subject] = max(self._confirmed_at[subject], now - age_s)
 
     def _take_routes(self, ip: str, delta: RouteDelta | None, now: float) -> None:
@@ -317,44 +297,6 @@
         self._commands.append(WriteLog(LogKind.ROUTES_IN_FORCE, str(delta.version), detail))
         self.news_taken(now)
 
-    def _compare(self, ip: str, changes: Changes, now: float) -> None:
-        """Note what a peer knows and this balancer does not, if it is so."""
-        told = self._told
-        told[Subject.ROUTES] = max(told[Subject.ROUTES], changes.routes_version)
-        told[Subject.BACKENDS] = max(told[Subject.BACKENDS], min(changes.changed_at, changes.revision))
-        for subject in Subject:
-            if self._is_behind(subject) and subject not in self._catching_up:
-                self._catching_up[subject] = CatchUp(ip, now + CATCH_UP_S[0])
-
-    def _is_behind(self, subject: Subject) -> bool:
-        return self._told[subject] > self._known(subject)
-
-    def _known(self, subject: Subject) -> int:
-        if subject is Subject.ROUTES:
-            return self._news.routes_version
-        return self._followers[subject].revision
-
-    def _catch_up(self, subject: Subject, waiting: CatchUp, now: float) -> None:
-        """Ask for what a peer knows, unless it has come meanwhile."""
-        if not self._is_behind(subject):
-            del self._catching_up[subject]
-            return
-        waiting.step += 1
-        if waiting.step >= len(CATCH_UP_S):
-            del self._catching_up[subject]
-            self._read_behind(subject, now)
-            return
-        waiting.due = now + CATCH_UP_S[waiting.step]
-        asked = [waiting.peer] if waiting.step == 1 else self._peers.choose_near(now)
-        known = (self._known(each) for each in (Subject.ROUTES, Subject.BACKENDS))
-        self._send(asked, ChangesAsked(*known))
-
-    def _read_behind(self, subject: Subject, now: float) -> None:
-        self._counters.behind_peers += 1
-        self._followers[subject].distrust(now + READ_SPREAD_S * self._random.random())
-        detail = f"told={self._told[subject]} known={self._known(subject)}"
-        self._commands.append(WriteLog(LogKind.BEHIND_PEER, subject.name.lower(), detail))
-
     def _send(self, ips: list[str], message: PeerMessage) -> None:
         self._counters.peer_messages_sent += len(ips)
         self._commands.extend(SendToPeer(ip, message) for ip in ips)
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -10,7 +10,6 @@
 
 from sloepond.core.deadlines import NEVER
 from sloepond.core.forwarding.backend import Decision
-from sloepond.core.forwarding.backend_records import BackendRecord
 from sloepond.core.forwarding.backends import BackendDirectory
 from sloepond.core.forwarding.commands import (
     CheckBackend,
@@ -24,8 +23,6 @@
 from sloepond.core.forwarding.dissemination import Dissemination
 from sloepond.core.forwarding.events import (
     BackendChecked,
-    BackendsChanged,
-    BackendsRead,
     BackendSuspected,
     CheckResult,
     Event,
@@ -33,12 +30,9 @@
     OpeningHeld,
     PeerMessageReceived,
     PeersJoined,
-    RoutesChanged,
-    RoutesRead,
     RoutesTold,
     SettingsChanged,
     StopRequested,
-    StoreCallFailed,
     StoreEvent,
     StoreProbed,
     Subject,
@@ -58,7 +52,7 @@
 from sloepond.core.forwarding.readers import ReaderElection, Role
 from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.core.forwarding.route_table import RouteTable
-from sloepond.core.forwarding.routes import RouteConfiguration
+from sloepond.core.forwarding.store_answers import StoreAnswers
 
 STOP_FORWARD_S = 1.8
 """How long a stopping balancer forwards on, so that routers notice it is not ready."""
@@ -109,6 +103,9 @@
             self.counters,
             random_source,
         )
+        self._answers = StoreAnswers(
+            self.routes, self.backends, self._followers, self._dissemination, self.counters
+        )
         self._exchange = PeerExchange(
             zone,
             peers,
@@ -204,7 +201,8 @@
             self._notice_stall(now)
         self._now = now
         if isinstance(event, StoreEvent):
-            self._store_answered(event)
+            self._answers.take(event, now)
+            self._update_trust()
         elif isinstance(event, TimerFired):
             self._on_time()
         elif isinstance(event, StopRequested):
@@ -252,6 +250,7 @@
 
     def _finish(self) -> list[Command]:
         self._log_told()
+        self._commands.extend(self._answers.take_commands())
         self._commands.extend(self._exchange.take_commands())
         self._commands.extend(self._dissemination.take_commands())
         deadline = min(
@@ -273,73 +272,6 @@
         for follower in self._followers.values():
             self._commands.extend(follower.on_time(self._now))
 
-    def _store_answered(self, event: StoreEvent) -> None:
-        if isinstance(event, StoreCallFailed):
-            self._store_failed(event)
-            return
-        subject = Subject.ROUTES if isinstance(event, RoutesRead | RoutesChanged) else Subject.BACKENDS
-        follower = self._followers[subject]
-        if follower.failures:
-            self._log(LogKind.STORE_REGAINED, subject.name.lower(), f"failures={follower.failures}")
-        if isinstance(event, RoutesRead):
-            self._take_routes(event.configuration)
-            follower.read(event.revision, self._now)
-        elif isinstance(event, RoutesChanged):
-            for configuration in event.configurations:
-                self._take_routes(configuration)
-            follower.watched(event.revision, self._now)
-        elif isinstance(event, BackendsRead):
-            revision = _sure_revision(event, follower)
-            self._take_list(event, revision)
-            follower.read(revision, self._now)
-        else:
-            self._take_changes(event)
-            follower.watched(event.revision, self._now)
-        self._dissemination.store_answered(self._now)
-        self._update_trust()
-
-    def _store_failed(self, event: StoreCallFailed) -> None:
-        self.counters.store_failures += 1
-        follower = self._followers[event.subject]
-        if not follower.failures:
-            self._log(LogKind.STORE_LOST, event.subject.name.lower(), f"reason={event.reason.value}")
-        follower.failed(event.reason, event.was_watch, self._now)
-        self._dissemination.store_failed(self._now)
-
-    def _take_routes(self, configuration: RouteConfiguration | None) -> None:
-        if configuration is None or not self.routes.take(configuration):
-            return
-        self.counters.configurations_taken += 1
-        self._dissemination.routes_read(self._now)
-        self._log(LogKind.ROUTES_IN_FORCE, str(configuration.version), f"routes={len(configuration.routes)}")
-
-    def _take_list(self, event: BackendsRead, revision: int) -> None:
-        is_first = not len(self.backends)
-        changed = self.backends.listed(event.records, revision, self._now)
-        if is_first:
-            self.backends.changes.begin_at(revision)
-        self.counters.backend_changes += changed
-        if changed:
-            self._dissemination.news_taken(self._now)
-            self._log(
-                LogKind.BACKEND_CHANGED,
-                "list",
-                f"changed={changed} listed={len(event.records)} rev={revision}",
-            )
-
-    def _take_changes(self, event: BackendsChanged) -> None:
-        for change in event.changes:
-            if isinstance(change, BackendRecord):
-                changed = self.backends.put(change, self._now)
-                state = change.state.name.lower()
-            else:
-                changed = self.backends.depart(change.name, change.revision, self._now)
-                state = "departed"
-            if changed:
-                self.counters.backend_changes += 1
-                self._dissemination.news_taken(self._now)
-                self._log(LogKind.BACKEND_CHANGED, change.name, f"state={state} rev={change.revision}")
-
     def _log_told(self) -> None:
         """Write a line for each back end that peers have told of newly."""
         for known in self._dissemination.take_changed():
@@ -419,13 +351,3 @@
 
     def _log(self, kind: LogKind, subject: str, detail: str) -> None:
         self._commands.append(WriteLog(kind, subject, detail))
-
-
-def _sure_revision(event: BackendsRead, follower: Follower) -> int:
-    """Return the revision up to which a list surely holds all changes.
-
-    One that may be stale holds at least the changes it shows.
-    """
-    if not follower.is_reading_stale:
-        return event.revision
-    return max((record.revision for record in event.records), default=0)
