Open flows are forwarded as soon as the list of back ends is known; new ones wait for the routes

Change: forwarding begins with the list; opening packets wait up to 1 s for the routes. Test: lifecycle.feature, two scenarios that failed before.

--- a/features/forwarding/lifecycle.feature
+++ b/features/forwarding/lifecycle.feature
@@ -28,3 +28,15 @@
   Scenario: A node without knowledge is not ready
     Given a fresh forwarding node whose store is silent
     Then forwarding is not ready and places nothing
+
+  Scenario: Open flows go on while a fresh process still reads the routes, new ones wait
+    Given a fresh forwarding node whose store is silent
+    When forwarding has read the list of back ends only
+    Then forwarding forwards open flows and is not ready
+    And forwarding holds 3 new flows and places them once the routes are read
+
+  Scenario: New flows do not wait for routes without end
+    Given a fresh forwarding node whose store is silent
+    When forwarding has read the list of back ends only
+    And forwarding lets 3 new flows wait for more than a second
+    Then forwarding places none of them once the routes are read
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -14,6 +14,7 @@
 from sloepond.core.forwarding.commands import (
     CompleteStop,
     FetchKnowledge,
+    ForwardHeld,
     ReadSubject,
     SendToPeer,
     WatchSubject,
@@ -21,6 +22,7 @@
 from sloepond.core.forwarding.events import (
     BackendsRead,
     KnowledgeReceived,
+    OpeningHeld,
     PeerMessageReceived,
     RoutesChanged,
     RoutesRead,
@@ -300,3 +302,47 @@
     harness.handle(BackendsRead(12, records()[:-1]))
     assert [watch.after for watch in harness.watches(Subject.BACKENDS)] == [12]
     assert harness.node.backends.by_name(records()[-1].name).state is BackendState.DEPARTED
+
+
+@when("forwarding has read the list of back ends only")
+def list_only(context):
+    context.harness.handle(BackendsRead(9, records()))
+
+
+@then("forwarding forwards open flows and is not ready")
+def forwards_open(context):
+    node = context.harness.node
+    assert node.can_forward and not node.is_ready
+    assert node.decide(segment(token=1, length=5), context.harness.now).backend.number == 1
+
+
+def let_wait(harness, count):
+    """Let new flows come before the routes are known."""
+    for port in range(count):
+        opening = segment(STREAM, 6000 + port, opening=True)
+        decision = harness.node.decide(opening, harness.now)
+        assert decision.hold and decision.backend is None and not decision.reset
+        harness.handle(OpeningHeld(opening, bytes([port])))
+
+
+@then("forwarding holds 3 new flows and places them once the routes are read")
+def holds_new(context):
+    harness = context.harness
+    let_wait(harness, 3)
+    harness.now += 0.4
+    assert harness.all(ForwardHeld) == []
+    harness.handle(RoutesRead(9, ROUTES))
+    assert [c.datagrams for c in harness.all(ForwardHeld)] == [(b"\0", b"\1", b"\2")]
+    assert harness.node.decide(segment(STREAM, 6000, opening=True), harness.now).backend is not None
+
+
+@when("forwarding lets 3 new flows wait for more than a second")
+def wait_long(context):
+    let_wait(context.harness, 3)
+    context.harness.now += 1.1
+
+
+@then("forwarding places none of them once the routes are read")
+def places_none(context):
+    context.harness.handle(RoutesRead(9, ROUTES))
+    assert context.harness.all(ForwardHeld) == []
--- a/sloepond/core/forwarding/forwarder.py
+++ b/sloepond/core/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 from sloepond.core.forwarding.route_table import RouteTable
 from sloepond.core.forwarding.routes import Route
 from sloepond.core.forwarding.selection import SILENCE_S, Selector
+from sloepond.core.forwarding.unrouted import UnroutedOpenings
 
 LAST_RESORT_S = 2.0
 """How long a service without any back end goes on with those that left the list
@@ -27,7 +28,7 @@
 _NO_BACKEND = Decision(refusal=Refusal.NO_BACKEND, reset=True)
 _NO_TOKEN = Decision(refusal=Refusal.NO_TOKEN)
 _UNKNOWN_TOKEN = Decision(refusal=Refusal.UNKNOWN_TOKEN, lookup=True)
-_NO_ROOM = Decision(hold=True)
+_WAITS = Decision(hold=True)
 _UNREACHABLE = Decision(refusal=Refusal.UNREACHABLE, reset=True)
 _STALE = Decision(refusal=Refusal.STALE_KNOWLEDGE)
 
@@ -52,6 +53,7 @@
         self._selector = Selector(zone, random_source)
         self.observer = FlowObserver()
         self.admission = Admission()
+        self._unrouted = UnroutedOpenings()
         self.may_place = True
 
     def decide(self, segment: Segment, now: float) -> Decision:
@@ -73,14 +75,14 @@
 
     def _decide_opening(self, segment: Segment, now: float) -> Decision:
         if not self._routes.version:
-            return _NOT_CONFIGURED
+            return _WAITS if len(self._backends) else _NOT_CONFIGURED
         if not self.may_place:
             return _STALE
         route = self._routes.find(segment.route_key)
         if route is None:
             return _NO_ROUTE
         if self._must_wait(segment, route, now):
-            return _NO_ROOM
+            return _WAITS
         first = self.observer.known_backend(segment) if segment.acknowledgement else None
         backend = self._place(first, route, now)
         if backend is None:
@@ -128,7 +130,10 @@
         return None
 
     def hold(self, segment: Segment, datagram: bytes, now: float) -> None:
-        """Let a new flow wait for room."""
+        """Let a new flow wait for room, or for routes."""
+        if not self._routes.version:
+            self._unrouted.add(segment.flow_key, datagram, now)
+            return
         route = self._routes.find(segment.route_key)
         if route is None:
             return
@@ -136,8 +141,12 @@
         self.admission.hold(HeldOpening(segment, datagram, route.priority, services, now))
         self._counters.flows_held += 1
 
+    def routed(self, now: float) -> tuple[bytes, ...]:
+        """Return the opening packets that waited for routes, once there are some."""
+        return self._unrouted.take(now) if self._routes.version else ()
+
     def release(self, now: float) -> list[bytes]:
-        """Return the opening packets that waited and are to be decided on again."""
+        """Return the opening packets that waited for room and are to be decided on again."""
         services = self.admission.held_services()
         if not services:
             return []
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -132,6 +132,11 @@
         """Whether routes and back ends are known."""
         return self.routes.version > 0 and len(self.backends) > 0
 
+    @property
+    def can_forward(self) -> bool:
+        """Whether packets of open flows can be forwarded; new flows wait for the routes."""
+        return len(self.backends) > 0
+
     @property
     def is_ready(self) -> bool:
         """Whether routers should send packets here."""
@@ -250,6 +255,9 @@
 
     def _finish(self) -> list[Command]:
         self._log_told()
+        routed = self._forwarder.routed(self._now)
+        if routed:
+            self._commands.append(ForwardHeld(routed))
         self._commands.extend(self._answers.take_commands())
         self._commands.extend(self._exchange.take_commands())
         self._commands.extend(self._dissemination.take_commands())
--- a/sloepond/runtime/forwarding/early.py
+++ b/sloepond/runtime/forwarding/early.py
@@ -152,7 +152,7 @@
     def _poll_once(self, timeout_ms: int) -> None:
         if self._clock() >= self._node.next_deadline():
             self._report(TimerFired())
-        if self._node.is_configured and not self._is_forwarding:
+        if self._node.can_forward and not self._is_forwarding:
             self._is_forwarding = True
             self._poll.register(self._edge, select.POLLIN)
         for descriptor, _ in self._poll.poll(timeout_ms):
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -60,7 +60,7 @@
         self._data_path.report = self.dispatch
         self._peers = PeerChannel(sockets.peer, sockets.knowledge, node, self.dispatch)
         self._was_ready = False
-        self._configured = trio.Event()
+        self._can_forward = trio.Event()
         self._deadline_changed = trio.Event()
         self._nursery: trio.Nursery | None = None
 
@@ -76,8 +76,8 @@
             nursery.start_soon(self._peers.run)
             self._carry_out(begun.commands)
             self.dispatch(PeersJoined())
-            if self._node.is_configured:
-                self._configured.set()
+            if self._node.can_forward:
+                self._can_forward.set()
             for received in begun.signals:
                 self._take_signal(received)
             nursery.start_soon(serve_pages, self._sockets.readiness, self._readiness_page)
@@ -90,8 +90,8 @@
     def dispatch(self, event: Event) -> None:
         """Give the node an event and carry out what it returns."""
         self._carry_out(self._node.handle(event, monotonic_seconds()))
-        if self._node.is_configured:
-            self._configured.set()
+        if self._node.can_forward:
+            self._can_forward.set()
         if self._node.is_ready and not self._was_ready:
             self._was_ready = True
             self._logs.write(WriteLog(LogKind.READY, "process", self._node.knowledge(monotonic_seconds())))
@@ -137,9 +137,9 @@
 
         What has waited too long is dropped: its sender has sent it again by then.
         """
-        while not self._node.is_configured:
+        while not self._node.can_forward:
             with trio.move_on_after(LONGEST_WAIT_S):
-                await self._configured.wait()
+                await self._can_forward.wait()
                 break
             self._data_path.drop_waiting()
         while True:
