--- a/features/steps/forwarding_early_steps.py
+++ b/features/steps/forwarding_early_steps.py
@@ -2,17 +2,27 @@
 
 from __future__ import annotations
 
+import base64
 import importlib.util
+import json
 import os
 import pathlib
 import socket
 import sys
+import threading
 
+import trio
 from behave import given, then, when
 from forwarding_model import ROUTES, fresh_node, records
 from forwarding_standins import SYN, packet
 
-from sloepond.core.forwarding.events import BackendsRead, RoutesRead, Subject
+from sloepond.core.forwarding.events import (
+    BackendsRead,
+    RoutesRead,
+    StoreCallFailed,
+    StoreFailure,
+    Subject,
+)
 from sloepond.platform.packet_codec import EchoPacketCodec
 from sloepond.platform.store import PlatformStoreCodec
 from sloepond.runtime.forwarding.data_path import DataPath
@@ -20,6 +30,7 @@
 from sloepond.runtime.forwarding.early import EarlyForwarding
 from sloepond.runtime.forwarding.import_polling import PollingFinder
 from sloepond.runtime.forwarding.log_writer import LogWriter
+from sloepond.runtime.forwarding.store_client import finish_read
 
 STREAM = ("0.0.0.1", 443)
 MODULE_S = 0.2
@@ -115,3 +126,84 @@
 @then("no finder of forwarding is left")
 def no_finder(context):
     assert not any(isinstance(finder, PollingFinder) for finder in sys.meta_path)
+
+
+class HalvingStore:
+    """Answers a read of the routes in two halves, the second when it is told to."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.requests = 0
+        self.may_finish = threading.Event()
+        self.sent_half = threading.Event()
+        threading.Thread(target=self.serve, daemon=True).start()
+
+    def serve(self):
+        """Serve the connections that come."""
+        while True:
+            try:
+                stream, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.answer, args=(stream,), daemon=True).start()
+
+    def answer(self, stream):
+        """Answer one request."""
+        with stream:
+            target = stream.recv(4096).split()[1].decode()
+            if "kv-key" not in target:
+                stream.recv(4096)
+                return
+            self.requests += 1
+            value = base64.b64encode(json.dumps({"version": 4, "routes": []}).encode()).decode()
+            body = json.dumps({"key": "op/config", "value": value, "at": 3}).encode()
+            data = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+            stream.sendall(data[: len(data) // 2])
+            self.sent_half.set()
+            if self.may_finish.wait(20.0):
+                stream.sendall(data[len(data) // 2 :])
+                stream.recv(4096)
+
+    def close(self):
+        """End it."""
+        self.may_finish.set()
+        self.listener.close()
+
+
+@given("a forwarding balancer whose store sends the routes in two halves")
+def halving(context):
+    context.store = HalvingStore()
+    context.add_cleanup(context.store.close)
+    context.loading = Loading()
+    context.add_cleanup(context.loading.close)
+    loading = context.loading
+    data_path = DataPath(loading.edge, EchoPacketCodec(1), loading.node, loading.logs)
+    sockets = BoundSockets(loading.edge, loading.edge, loading.edge, loading.edge)
+    endpoint = context.store.listener.getsockname()
+    early = EarlyForwarding(sockets, data_path, endpoint, PlatformStoreCodec(), loading.node, loading.logs)
+    begun = early.run([], ("module",), lambda name: context.store.sent_half.wait(20.0))
+    reads = [read for read in begun.reads if read.command.subject is Subject.ROUTES]
+    assert len(reads) == 1 and loading.node.routes.version == 0
+    context.read = reads[0]
+
+
+@when("the second half comes after everything is loaded")
+def second_half(context):
+    context.store.may_finish.set()
+    context.event = trio.run(finish_read, context.read)
+
+
+@when("the second half never comes")
+def never_comes(context):
+    context.event = trio.run(finish_read, context.read)
+
+
+@then("forwarding knows the routes after one request")
+def one_request(context):
+    assert isinstance(context.event, RoutesRead) and context.event.configuration.version == 4
+    assert context.store.requests == 1
+
+
+@then("forwarding takes the read as timed out")
+def timed_out(context):
+    assert context.event == StoreCallFailed(Subject.ROUTES, StoreFailure.TIMED_OUT, False)
--- a/sloepond/runtime/forwarding/early.py
+++ b/sloepond/runtime/forwarding/early.py
@@ -10,22 +10,19 @@
 
 import importlib
 import select
-import socket
 from collections.abc import Callable
 
-import h11
 import msgspec
 
 from sloepond.core.forwarding.commands import Command, ForwardHeld, ReadSubject, WriteLog
-from sloepond.core.forwarding.events import Event, StoreEvent, TimerFired
+from sloepond.core.forwarding.events import Event, TimerFired
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.runtime.clock import monotonic_seconds
 from sloepond.runtime.forwarding.data_path import DataPath
 from sloepond.runtime.forwarding.drivers import BoundSockets, StoreCodec
-from sloepond.runtime.forwarding.http_exchange import HttpExchange, HttpFailure, HttpResponse
+from sloepond.runtime.forwarding.early_read import EarlyRead
 from sloepond.runtime.forwarding.import_polling import PollingFinder
 from sloepond.runtime.forwarding.log_writer import LogWriter
-from sloepond.runtime.forwarding.store_pages import PagedRead
 
 FIRST_READS_S = 0.04
 """How long loading waits for the first reads of the store."""
@@ -33,7 +30,6 @@
 """Least time between two looks for packets while modules are loaded."""
 POLL_MS = 5
 """Longest wait for a packet or an answer meanwhile."""
-READ_BYTES = 65_536
 MODULES = ("trio", "sloepond.runtime.forwarding.service")
 """What is loaded meanwhile."""
 
@@ -42,52 +38,15 @@
     """What the early stage leaves to the service.
 
     :ivar commands: commands not carried out yet.
+    :ivar reads: reads of the store under way.
     :ivar signals: signals received meanwhile.
     """
 
     commands: list[Command]
+    reads: list[EarlyRead]
     signals: list[int]
 
 
-class EarlyRead:
-    """One read of the store on a socket of its own."""
-
-    def __init__(self, command: ReadSubject, endpoint: tuple[str, int], codec: StoreCodec) -> None:
-        self.command = command
-        self._exchange = HttpExchange(f"{endpoint[0]}:{endpoint[1]}")
-        self._pages = PagedRead(command, codec)
-        self._unsent = self._exchange.request(self._pages.target)
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.socket.setblocking(False)
-        self.socket.connect_ex(endpoint)
-
-    @property
-    def awaited(self) -> int:
-        """The poll event to wait for."""
-        return select.POLLOUT if self._unsent else select.POLLIN
-
-    def progress(self) -> StoreEvent | None:
-        """Send or receive; return the event once the read has ended."""
-        try:
-            if self._unsent:
-                self._unsent = self._unsent[self.socket.send(self._unsent) :]
-                return None
-            response = self._exchange.receive(self.socket.recv(READ_BYTES))
-        except BlockingIOError:
-            return None
-        except OSError:
-            return self._pages.answered(HttpFailure.UNREACHABLE)
-        except h11.ProtocolError:
-            return self._pages.answered(HttpFailure.MALFORMED)
-        return self._take(response) if response is not None else None
-
-    def _take(self, response: HttpResponse) -> StoreEvent | None:
-        event = self._pages.answered(response)
-        if event is None:
-            self._unsent = self._exchange.request(self._pages.target)
-        return event
-
-
 class EarlyForwarding:
     """Runs the node until the rest is loaded.
 
@@ -138,10 +97,7 @@
             for name in modules:
                 load(name)
                 self._poll_once(0)
-        for read in self._reads.values():
-            read.socket.close()
-            self._left.append(read.command)
-        return EarlyResult(self._left, signals)
+        return EarlyResult(self._left, list(self._reads.values()), signals)
 
     def _look(self) -> None:
         """Look for packets, not more often than needed: each look is a system call."""
@@ -165,7 +121,7 @@
     def _progress(self, descriptor: int, read: EarlyRead) -> None:
         event = read.progress()
         if event is None:
-            self._poll.modify(descriptor, read.awaited)
+            self._poll.modify(descriptor, _awaited(read))
             return
         self._poll.unregister(descriptor)
         del self._reads[descriptor]
@@ -191,4 +147,9 @@
         self._node.counters.store_reads += 1
         read = EarlyRead(command, self._store, self._codec)
         self._reads[read.socket.fileno()] = read
-        self._poll.register(read.socket, read.awaited)
+        self._poll.register(read.socket, _awaited(read))
+
+
+def _awaited(read: EarlyRead) -> int:
+    """Return the poll event that a read waits for."""
+    return select.POLLOUT if read.is_sending else select.POLLIN
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -26,13 +26,14 @@
 from sloepond.runtime.forwarding.data_path import DataPath
 from sloepond.runtime.forwarding.drivers import BoundSockets
 from sloepond.runtime.forwarding.early import EarlyResult
+from sloepond.runtime.forwarding.early_read import EarlyRead
 from sloepond.runtime.forwarding.http_server import Page, serve_pages
 from sloepond.runtime.forwarding.log_writer import LogWriter
 from sloepond.runtime.forwarding.metrics import metrics_page
 from sloepond.runtime.forwarding.peer_channel import PeerChannel
 from sloepond.runtime.forwarding.reachability_check import check_reachable
 from sloepond.runtime.forwarding.reloading import CHECK_INTERVAL_S, SettingsReloader
-from sloepond.runtime.forwarding.store_client import StoreClient
+from sloepond.runtime.forwarding.store_client import StoreClient, finish_read
 
 LONGEST_SLEEP_S = 60.0
 LONGEST_WAIT_S = 1.0
@@ -76,6 +77,8 @@
             nursery.start_soon(self._peers.run)
             self._carry_out(begun.commands)
             self.dispatch(PeersJoined())
+            for read in begun.reads:
+                nursery.start_soon(self._finish_read, read)
             if self._node.can_forward:
                 self._can_forward.set()
             for received in begun.signals:
@@ -116,6 +119,9 @@
             elif isinstance(command, CompleteStop):
                 self._nursery.cancel_scope.cancel()
 
+    async def _finish_read(self, read: EarlyRead) -> None:
+        self.dispatch(await finish_read(read))
+
     async def _check_backend(self, command: CheckBackend) -> None:
         result = await check_reachable(command.endpoint, command.control)
         self.dispatch(BackendChecked(command.name, result))
--- a/sloepond/runtime/forwarding/store_client.py
+++ b/sloepond/runtime/forwarding/store_client.py
@@ -9,6 +9,7 @@
 from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
 from sloepond.core.forwarding.events import StoreCallFailed, StoreEvent, StoreFailure, StoreProbed
 from sloepond.runtime.forwarding.drivers import StoreCodec
+from sloepond.runtime.forwarding.early_read import EarlyRead
 from sloepond.runtime.forwarding.http_client import HttpClient
 from sloepond.runtime.forwarding.http_exchange import HttpFailure
 from sloepond.runtime.forwarding.store_pages import PAGE_RETRIES, PagedRead, store_failure
@@ -57,6 +58,20 @@
         return self._codec.decode_watch(command, answer.body)
 
 
+async def finish_read(read: EarlyRead) -> StoreEvent:
+    """Finish a read that was begun before trio was loaded."""
+    with read.socket:
+        while True:
+            wait = trio.lowlevel.wait_writable if read.is_sending else trio.lowlevel.wait_readable
+            with trio.move_on_after(SILENCE_S) as patience:
+                await wait(read.socket)
+            if patience.cancelled_caught:
+                return StoreCallFailed(read.command.subject, StoreFailure.TIMED_OUT, False)
+            event = read.progress()
+            if event is not None:
+                return event
+
+
 def _client(address: str) -> HttpClient:
     host, _, port = address.rpartition(":")
     return HttpClient(host, int(port))
