--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -26,13 +26,14 @@
 from sloepond.runtime.forwarding.data_path import DataPath
 from sloepond.runtime.forwarding.drivers import BoundSockets
 from sloepond.runtime.forwarding.early import EarlyResult
+from sloepond.runtime.forwarding.early_read import EarlyRead
 from sloepond.runtime.forwarding.http_server import Page, serve_pages
 from sloepond.runtime.forwarding.log_writer import LogWriter
 from sloepond.runtime.forwarding.metrics import metrics_page
 from sloepond.runtime.forwarding.peer_channel import PeerChannel
 from sloepond.runtime.forwarding.reachability_check import check_reachable
 from sloepond.runtime.forwarding.reloading import CHECK_INTERVAL_S, SettingsReloader
-from sloepond.runtime.forwarding.store_client import StoreClient
+from sloepond.runtime.forwarding.store_client import StoreClient, finish_read
 
 LONGEST_SLEEP_S = 60.0
 LONGEST_WAIT_S = 1.0
@@ -60,7 +61,7 @@
         self._data_path.report = self.dispatch
         self._peers = PeerChannel(sockets.peer, sockets.knowledge, node, self.dispatch)
         self._was_ready = False
-        self._configured = trio.Event()
+        self._can_forward = trio.Event()
         self._deadline_changed = trio.Event()
         self._nursery: trio.Nursery | None = None
 
@@ -76,8 +77,10 @@
             nursery.start_soon(self._peers.run)
             self._carry_out(begun.commands)
             self.dispatch(PeersJoined())
-            if self._node.is_configured:
-                self._configured.set()
+            for read in begun.reads:
+                nursery.start_soon(self._finish_read, read)
+            if self._node.can_forward:
+                self._can_forward.set()
             for received in begun.signals:
                 self._take_signal(received)
             nursery.start_soon(serve_pages, self._sockets.readiness, self._readiness_page)
@@ -90,8 +93,8 @@
     def dispatch(self, event: Event) -> None:
         """Give the node an event and carry out what it returns."""
         self._carry_out(self._node.handle(event, monotonic_seconds()))
-        if self._node.is_configured:
-            self._configured.set()
+        if self._node.can_forward:
+            self._can_forward.set()
         if self._node.is_ready and not self._was_ready:
             self._was_ready = True
             self._logs.write(WriteLog(LogKind.READY, "process", self._node.knowledge(monotonic_seconds())))
@@ -116,6 +119,9 @@
             elif isinstance(command, CompleteStop):
                 self._nursery.cancel_scope.cancel()
 
+    async def _finish_read(self, read: EarlyRead) -> None:
+        self.dispatch(await finish_read(read))
+
     async def _check_backend(self, command: CheckBackend) -> None:
         result = await check_reachable(command.endpoint, command.control)
         self.dispatch(BackendChecked(command.name, result))
@@ -137,9 +143,9 @@
 
         What has waited too long is dropped: its sender has sent it again by then.
         """
-        while not self._node.is_configured:
+        while not self._node.can_forward:
             with trio.move_on_after(LONGEST_WAIT_S):
-                await self._configured.wait()
+                await self._can_forward.wait()
                 break
             self._data_path.drop_waiting()
         while True:
