A fresh process asks only peers in its own zone for all they know, for the first 1.2 s

Change and test: store.feature. The scenario of a silent store stands beside a peer in its zone now; its bound is the same.

--- a/features/forwarding/store.feature
+++ b/features/forwarding/store.feature
@@ -21,10 +21,17 @@
     And forwarding reads the routes within a second where no peer answers
 
   Scenario: A fresh balancer learns from peers while the store is silent
-    Given a fresh forwarding node whose store is silent
+    Given a fresh forwarding node whose store is silent, beside a peer in its zone
     When forwarding is told all a peer knows
     Then forwarding is ready and forwards to back ends that left the list
 
   Scenario: A first list that may be stale is confirmed soon
     Given a fresh forwarding node whose store is silent
     Then forwarding asks for a stale list first and reads it again within three seconds
+
+  Scenario: What is large is asked of a peer in the own zone; elsewhere only after a while
+    Given a fresh forwarding node whose store is silent and whose peers stand in other zones
+    Then forwarding asks nobody for all it knows within a second
+    And forwarding asks a peer in another zone soon after
+    When forwarding hears a peer in its own zone
+    Then forwarding asks only that peer from then on
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -187,6 +187,13 @@
     context.harness.run_to(context.harness.now + 0.4, TimerFired())
 
 
+@given("a fresh forwarding node whose store is silent, beside a peer in its zone")
+def silent_store_beside(context):
+    context.harness = Harness()
+    context.harness.handle(PeerMessageReceived("10.1.0.2", Heartbeat(0, 0, False, (), "north")))
+    context.harness.run_to(context.harness.now + 0.4, TimerFired())
+
+
 @when("forwarding is told all a peer knows")
 def told_all(context):
     harness = context.harness
@@ -346,3 +353,34 @@
 def places_none(context):
     context.harness.handle(RoutesRead(9, ROUTES))
     assert context.harness.all(ForwardHeld) == []
+
+
+@given("a fresh forwarding node whose store is silent and whose peers stand in other zones")
+def peers_elsewhere(context):
+    context.harness = Harness()
+    for number in (2, 3, 4):
+        context.harness.handle(PeerMessageReceived(f"10.1.0.{number}", Heartbeat(7, 1, False, (), "south")))
+
+
+@then("forwarding asks nobody for all it knows within a second")
+def asks_nobody(context):
+    context.harness.run_to(context.harness.now + 1.0, TimerFired())
+    assert context.harness.all(FetchKnowledge) == []
+
+
+@then("forwarding asks a peer in another zone soon after")
+def asks_elsewhere(context):
+    context.harness.run_to(context.harness.now + 0.5, TimerFired())
+    assert context.harness.all(FetchKnowledge) != []
+
+
+@when("forwarding hears a peer in its own zone")
+def hears_own_zone(context):
+    context.harness.handle(PeerMessageReceived("10.1.0.9", Heartbeat(7, 1, False, (), "north")))
+
+
+@then("forwarding asks only that peer from then on")
+def asks_own_zone(context):
+    context.harness.run_to(context.harness.now + 0.9, TimerFired())
+    asked = context.harness.all(FetchKnowledge)
+    assert asked and {command.ip for command in asked} == {"10.1.0.9"}
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -38,6 +38,8 @@
 
 ASK_PEERS_AFTER_S = 0.3
 """How long a fresh balancer waits for the store before it asks a peer for all it knows."""
+ASK_ANYWHERE_AFTER_S = 1.2
+"""How long it asks only peers in its own zone: bytes between zones are priced."""
 ASK_PEERS_INTERVAL_S = 0.25
 """Time until it asks another one."""
 
@@ -93,6 +95,7 @@
         """
         self._heartbeat_at = now
         self._ask_at = max(now, started_at + ASK_PEERS_AFTER_S)
+        self._ask_anywhere_at = started_at + ASK_ANYWHERE_AFTER_S
 
     def take_commands(self) -> list[Command]:
         """Return what is to be done, and forget it."""
@@ -216,7 +219,8 @@
         if self._routes.version and len(self._backends):
             return
         self._ask_at = now + ASK_PEERS_INTERVAL_S
-        self._commands.extend(FetchKnowledge(ip) for ip in self._peers.choose_source(now))
+        sources = self._peers.choose_source(now, now >= self._ask_anywhere_at)
+        self._commands.extend(FetchKnowledge(ip) for ip in sources)
 
     def _answer_token(self, ip: str, token: int, now: float) -> None:
         backend = self._backends.by_token(token)
--- a/sloepond/core/forwarding/peers.py
+++ b/sloepond/core/forwarding/peers.py
@@ -117,11 +117,16 @@
         others = [ip for ip in self.choose(now, FANOUT) if ip not in chosen]
         return chosen + others[: FANOUT - len(chosen)]
 
-    def choose_source(self, now: float) -> list[str]:
-        """Return the address of a peer to fetch much from: one in the same zone if possible."""
+    def choose_source(self, now: float, may_be_far: bool) -> list[str]:
+        """Return the address of a peer to fetch much from, in the same zone if possible.
+
+        :param may_be_far: whether one in another zone, or in an unknown one, will do.
+        """
         alive = [peer for peer in self._peers.values() if self._is_alive(peer, now)]
         near = [peer.ip for peer in alive if peer.zone == self._zone]
-        return [self._random.choice(near)] if near else self.choose(now, 1)[:1]
+        if near:
+            return [self._random.choice(near)]
+        return self.choose(now, 1)[:1] if may_be_far else []
 
     def share(self, now: float, zone: str = "") -> tuple[str, ...]:
         """Return a few living peers for a heartbeat to carry.
