--- a/features/forwarding/process.feature
+++ b/features/forwarding/process.feature
@@ -19,3 +19,9 @@
     And a platform balancer that is ready
     When the platform store falls silent and another balancer starts
     Then the other platform balancer becomes ready
+
+  Scenario: A process whose store answers in parts starts all the same
+    Given platform stand-ins of a store and of two targets
+    And a platform store that pauses for half a second within the routes
+    When a platform balancer is started
+    Then the platform balancer becomes ready and forwards a flow to one target
--- a/features/forwarding/store.feature
+++ b/features/forwarding/store.feature
@@ -35,3 +35,13 @@
     And forwarding asks a peer in another zone soon after
     When forwarding hears a peer in its own zone
     Then forwarding asks only that peer from then on
+
+  Scenario: While the store is answering a large read no peer is asked for all it knows
+    Given a fresh forwarding node whose store is silent, beside a peer in its zone
+    When forwarding hears a part of an answer of the store each tenth of a second for 1.5 seconds
+    Then forwarding has asked nobody meanwhile and asks a peer 0.3 seconds after the last part
+
+  Scenario: A store that never ends its answer does not keep a fresh process from its peers
+    Given a fresh forwarding node whose store is silent, beside a peer in its zone
+    When forwarding hears a part of an answer of the store each tenth of a second for 3.0 seconds
+    Then forwarding has asked a peer meanwhile
--- a/features/steps/forwarding_early_steps.py
+++ b/features/steps/forwarding_early_steps.py
@@ -190,12 +190,12 @@
 @when("the second half comes after everything is loaded")
 def second_half(context):
     context.store.may_finish.set()
-    context.event = trio.run(finish_read, context.read)
+    context.event = trio.run(finish_read, context.read, lambda: None)
 
 
 @when("the second half never comes")
 def never_comes(context):
-    context.event = trio.run(finish_read, context.read)
+    context.event = trio.run(finish_read, context.read, lambda: None)
 
 
 @then("forwarding knows the routes after one request")
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -76,6 +76,11 @@
     assert "sloepond_route_version 4" in text
 
 
+@given("a platform store that pauses for half a second within the routes")
+def store_pauses(context):
+    context.stage.store.pause_s = 0.5
+
+
 @when("the platform balancer is told to stop")
 def told_to_stop(context):
     context.balancer.signal(signal.SIGTERM)
--- a/features/steps/forwarding_standins.py
+++ b/features/steps/forwarding_standins.py
@@ -55,6 +55,7 @@
         self.answering = threading.Event()
         self.answering.set()
         self.closing = threading.Event()
+        self.pause_s = 0.0
         standin = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -97,7 +98,12 @@
         handler.send_header("Content-Type", "application/json")
         handler.send_header("Content-Length", str(len(data)))
         handler.end_headers()
-        handler.wfile.write(data)
+        half = len(data) // 2
+        handler.wfile.write(data[:half])
+        handler.wfile.flush()
+        if target.path == "/api/kv-key":
+            self.closing.wait(self.pause_s)
+        handler.wfile.write(data[half:])
 
     def close(self):
         """End all calls."""
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -29,6 +29,7 @@
     StopRequested,
     StoreCallFailed,
     StoreFailure,
+    StoreHeard,
     Subject,
     TimerFired,
 )
@@ -384,3 +385,25 @@
     context.harness.run_to(context.harness.now + 0.9, TimerFired())
     asked = context.harness.all(FetchKnowledge)
     assert asked and {command.ip for command in asked} == {"10.1.0.9"}
+
+
+@when("forwarding hears a part of an answer of the store each tenth of a second for {seconds:f} seconds")
+def hears_parts(context, seconds):
+    harness = context.harness
+    harness.all(FetchKnowledge)
+    for _ in range(round(seconds * 10)):
+        harness.handle(StoreHeard())
+        harness.run_to(harness.now + 0.1, TimerFired())
+
+
+@then("forwarding has asked nobody meanwhile and asks a peer 0.3 seconds after the last part")
+def asked_nobody(context):
+    harness = context.harness
+    assert harness.all(FetchKnowledge) == []
+    harness.run_to(harness.now + 0.21, TimerFired())
+    assert len(harness.all(FetchKnowledge)) == 1
+
+
+@then("forwarding has asked a peer meanwhile")
+def asked_meanwhile(context):
+    assert context.harness.all(FetchKnowledge) != []
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -81,6 +81,10 @@
     was_watch: bool
 
 
+class StoreHeard(msgspec.Struct, frozen=True):
+    """A part of an answer has come from the store; the rest is on its way."""
+
+
 class StoreProbed(msgspec.Struct, frozen=True):
     """A call that only asks whether the store answers has ended.
 
@@ -180,6 +184,7 @@
 Event = (
     StoreEvent
     | StoreProbed
+    | StoreHeard
     | PeersJoined
     | PeerMessageReceived
     | KnowledgeReceived
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -34,6 +34,7 @@
     SettingsChanged,
     StopRequested,
     StoreEvent,
+    StoreHeard,
     StoreProbed,
     Subject,
     TimerFired,
@@ -219,6 +220,8 @@
             self._exchange.seeds_changed(event.seeds)
         elif isinstance(event, StoreProbed):
             self._dissemination.probe_ended(event.failure is None, now)
+        elif isinstance(event, StoreHeard):
+            self._exchange.store_heard(now)
         elif isinstance(event, OpeningHeld):
             self._forwarder.hold(event.segment, event.datagram, now)
         else:
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -40,6 +40,10 @@
 """How long a fresh balancer waits for the store before it asks a peer for all it knows."""
 ASK_ANYWHERE_AFTER_S = 1.2
 """How long it asks only peers in its own zone: bytes between zones are priced."""
+JOIN_S = 0.1
+"""Time for peers to answer the first heartbeats, and for reads under way to go on."""
+STORE_ANSWERS_S = 2.5
+"""How long a store that is answering keeps it from asking peers."""
 ASK_PEERS_INTERVAL_S = 0.25
 """Time until it asks another one."""
 
@@ -94,8 +98,15 @@
         :param started_at: when this process has begun to ask the store.
         """
         self._heartbeat_at = now
-        self._ask_at = max(now, started_at + ASK_PEERS_AFTER_S)
+        self._ask_at = max(now + JOIN_S, started_at + ASK_PEERS_AFTER_S)
         self._ask_anywhere_at = started_at + ASK_ANYWHERE_AFTER_S
+        self._started_at = started_at
+
+    def store_heard(self, now: float) -> None:
+        """Ask no peer for all it knows while the store is answering, for a while at most."""
+        if self._ask_at < NEVER:
+            latest = self._started_at + STORE_ANSWERS_S
+            self._ask_at = max(self._ask_at, min(now + ASK_PEERS_AFTER_S, latest))
 
     def take_commands(self) -> list[Command]:
         """Return what is to be done, and forget it."""
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -20,7 +20,14 @@
     WatchSubject,
     WriteLog,
 )
-from sloepond.core.forwarding.events import BackendChecked, Event, PeersJoined, StopRequested, TimerFired
+from sloepond.core.forwarding.events import (
+    BackendChecked,
+    Event,
+    PeersJoined,
+    StopRequested,
+    StoreHeard,
+    TimerFired,
+)
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.runtime.clock import monotonic_seconds
 from sloepond.runtime.forwarding.data_path import DataPath
@@ -119,8 +126,11 @@
             elif isinstance(command, CompleteStop):
                 self._nursery.cancel_scope.cancel()
 
+    def _store_heard(self) -> None:
+        self.dispatch(StoreHeard())
+
     async def _finish_read(self, read: EarlyRead) -> None:
-        self.dispatch(await finish_read(read))
+        self.dispatch(await finish_read(read, self._store_heard))
 
     async def _check_backend(self, command: CheckBackend) -> None:
         result = await check_reachable(command.endpoint, command.control)
@@ -130,7 +140,7 @@
         counters = self._node.counters
         if isinstance(command, ReadSubject):
             counters.store_reads += 1
-            self.dispatch(await self._store.read(command))
+            self.dispatch(await self._store.read(command, self._store_heard))
         elif isinstance(command, WatchSubject):
             counters.store_watches += 1
             self.dispatch(await self._store.watch(command))
--- a/sloepond/runtime/forwarding/store_client.py
+++ b/sloepond/runtime/forwarding/store_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import trio
 
@@ -11,7 +12,7 @@
 from sloepond.runtime.forwarding.drivers import StoreCodec
 from sloepond.runtime.forwarding.early_read import EarlyRead
 from sloepond.runtime.forwarding.http_client import HttpClient
-from sloepond.runtime.forwarding.http_exchange import HttpFailure
+from sloepond.runtime.forwarding.http_exchange import HttpFailure, HttpResponse
 from sloepond.runtime.forwarding.store_pages import PAGE_RETRIES, PagedRead, store_failure
 
 SILENCE_S = 0.7
@@ -35,13 +36,19 @@
         self._client.close()
         self._client = _client(address)
 
-    async def read(self, command: ReadSubject) -> StoreEvent:
-        """Read everything of a subject."""
+    async def read(self, command: ReadSubject, heard: Callable[[], None]) -> StoreEvent:
+        """Read everything of a subject.
+
+        :param heard: called after each page that is followed by another one.
+        """
         paged = PagedRead(command, self._codec, PAGE_RETRIES)
         event: StoreEvent | None = None
         while event is None:
             await trio.sleep(paged.wait_s * (0.5 + random.random()))
-            event = paged.answered(await self._client.get(paged.target, SILENCE_S))
+            answer = await self._client.get(paged.target, SILENCE_S)
+            event = paged.answered(answer)
+            if event is None and isinstance(answer, HttpResponse):
+                heard()
         return event
 
     async def probe(self) -> StoreProbed:
@@ -58,8 +65,11 @@
         return self._codec.decode_watch(command, answer.body)
 
 
-async def finish_read(read: EarlyRead) -> StoreEvent:
-    """Finish a read that was begun before trio was loaded."""
+async def finish_read(read: EarlyRead, heard: Callable[[], None]) -> StoreEvent:
+    """Finish a read that was begun before trio was loaded.
+
+    :param heard: called after each part of the answer but the last.
+    """
     with read.socket:
         while True:
             wait = trio.lowlevel.wait_writable if read.is_sending else trio.lowlevel.wait_readable
@@ -70,6 +80,8 @@
             event = read.progress()
             if event is not None:
                 return event
+            if not read.is_sending:
+                heard()
 
 
 def _client(address: str) -> HttpClient:
