--- a/features/forwarding/process.feature
+++ b/features/forwarding/process.feature
@@ -22,6 +22,6 @@
 
   Scenario: A process whose store answers in parts starts all the same
     Given platform stand-ins of a store and of two targets
-    And a platform store that pauses for half a second within the routes
+    And a platform store that sends the routes in parts, with pauses
     When a platform balancer is started
     Then the platform balancer becomes ready and forwards a flow to one target
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -76,9 +76,9 @@
     assert "sloepond_route_version 4" in text
 
 
-@given("a platform store that pauses for half a second within the routes")
+@given("a platform store that sends the routes in parts, with pauses")
 def store_pauses(context):
-    context.stage.store.pause_s = 0.5
+    context.stage.store.pause_s = 0.3
 
 
 @when("the platform balancer is told to stop")
--- a/features/steps/forwarding_standins.py
+++ b/features/steps/forwarding_standins.py
@@ -24,6 +24,8 @@
 METRICS_PORT = 9464
 PATIENCE_S = 20.0
 POLL_S = 0.02
+PARTS = 5
+"""Parts in which answers are sent."""
 REPOSITORY = pathlib.Path(__file__).parents[2]
 
 
@@ -98,12 +100,12 @@
         handler.send_header("Content-Type", "application/json")
         handler.send_header("Content-Length", str(len(data)))
         handler.end_headers()
-        half = len(data) // 2
-        handler.wfile.write(data[:half])
-        handler.wfile.flush()
-        if target.path == "/api/kv-key":
-            self.closing.wait(self.pause_s)
-        handler.wfile.write(data[half:])
+        part = len(data) // PARTS + 1
+        for begin in range(0, len(data), part):
+            handler.wfile.write(data[begin : begin + part])
+            handler.wfile.flush()
+            if target.path == "/api/kv-key":
+                self.closing.wait(self.pause_s)
 
     def close(self):
         """End all calls."""
