--- a/benchmarks/attainable.py
+++ b/benchmarks/attainable.py
@@ -101,26 +101,20 @@
     """Return the requests lost, by cause."""
     disturbances = _disturbances(report)
     outages = _outages(report, disturbances, site)
-    started = [Outage(outage.balancer, outage.begin, outage.end + START_S) for outage in outages]
-    zones = _zones(report)
-    kinds = _request_kinds(site, report)
-    zone_shares = {zone["name"]: float(zone["n"]) for zone in report["zones"]}
+    expected = ExpectedLoss(site, report, outages)
     lost = Split()
     for window in report["windows"]:
         begin = float(window["name"])
-        end = begin + WINDOW_S
         missing = window["n"] * (1.0 - window["worth"])
         if missing < LEAST_LOSS:
             lost.rest += missing
             continue
-        for counted, field in ((outages, "outages"), (started, "start")):
-            model = OutageModel(zones, counted, random.Random(SEED))
-            share = model.lost_share(kinds, zone_shares, begin, end)
-            bound = window["n"] * share - (0.0 if field == "outages" else explained)
-            explained = min(max(bound, 0.0), missing)
-            setattr(lost, field, getattr(lost, field) + explained)
-            missing -= explained
-        causes = [entry.kind for entry in disturbances if entry.touches(begin, end)]
+        in_outages = min(expected.in_outages(window), missing)
+        in_starts = min(expected.until_started(window), missing) - in_outages
+        lost.outages += in_outages
+        lost.start += max(in_starts, 0.0)
+        missing -= in_outages + max(in_starts, 0.0)
+        causes = [entry.kind for entry in disturbances if entry.touches(begin, begin + WINDOW_S)]
         if any(kind.startswith(BACKEND_KINDS) for kind in causes):
             lost.backends += missing
         elif any(kind.startswith(BALANCER_KINDS) for kind in causes):
@@ -130,6 +124,31 @@
     return lost
 
 
+class ExpectedLoss:
+    """What the model of outages loses in a window, in requests."""
+
+    def __init__(self, site: dict[str, Any], report: dict[str, Any], outages: list[Outage]) -> None:
+        zones = _zones(report)
+        longer = [Outage(outage.balancer, outage.begin, outage.end + START_S) for outage in outages]
+        self._at_once = OutageModel(zones, outages, random.Random(SEED))
+        self._started = OutageModel(zones, longer, random.Random(SEED))
+        self._kinds = _request_kinds(site, report)
+        self._zone_shares = {zone["name"]: float(zone["n"]) for zone in report["zones"]}
+
+    def in_outages(self, window: dict[str, Any]) -> float:
+        """Return the loss with processes that forward as soon as they are started."""
+        return self._lost(self._at_once, window)
+
+    def until_started(self, window: dict[str, Any]) -> float:
+        """Return the loss with processes that need `START_S` to start."""
+        return self._lost(self._started, window)
+
+    def _lost(self, model: OutageModel, window: dict[str, Any]) -> float:
+        begin = float(window["name"])
+        share = model.lost_share(self._kinds, self._zone_shares, begin, begin + WINDOW_S)
+        return float(window["n"] * share)
+
+
 def _disturbances(report: dict[str, Any]) -> list[Disturbance]:
     return [
         Disturbance(entry["kind"], entry["at_s"], entry["to_s"], str(entry["what"]))
