--- a/sloepond/runtime/forwarding/http_server.py
+++ b/sloepond/runtime/forwarding/http_server.py
@@ -9,6 +9,8 @@
 import msgspec
 import trio
 
+from sloepond.runtime.forwarding.accepting import serve_connections
+
 READ_BYTES = 8_192
 IDLE_S = 30.0
 MAXIMUM_CONNECTIONS = 64
@@ -28,27 +30,14 @@
 
 async def serve_pages(listener: socket.socket, source: PageSource) -> None:
     """Answer GET requests on a listening socket until cancelled."""
-    listening = trio.socket.from_stdlib_socket(listener)
-    limit = trio.CapacityLimiter(MAXIMUM_CONNECTIONS)
-    async with trio.open_nursery() as nursery:
-        while True:
-            try:
-                stream, _ = await listening.accept()
-            except OSError:
-                await trio.sleep(0.05)
-                continue
-            nursery.start_soon(_serve_connection, stream, source, limit)
-
-
-async def _serve_connection(
-    stream: trio.socket.SocketType, source: PageSource, limit: trio.CapacityLimiter
-) -> None:
-    with stream:
-        async with limit:
-            try:
-                await _answer_requests(stream, source)
-            except (OSError, h11.ProtocolError):
-                return
+
+    async def serve(stream: trio.socket.SocketType) -> None:
+        try:
+            await _answer_requests(stream, source)
+        except (OSError, h11.ProtocolError):
+            return
+
+    await serve_connections(listener, serve, MAXIMUM_CONNECTIONS)
 
 
 async def _answer_requests(stream: trio.socket.SocketType, source: PageSource) -> None:
--- a/sloepond/runtime/forwarding/peer_channel.py
+++ b/sloepond/runtime/forwarding/peer_channel.py
@@ -20,6 +20,7 @@
 )
 from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.runtime.clock import monotonic_seconds
+from sloepond.runtime.forwarding.accepting import serve_connections
 
 MAXIMUM_DATAGRAM_BYTES = 2_048
 BATCH_DATAGRAMS = 64
@@ -60,7 +61,7 @@
     async def run(self) -> None:
         """Take what peers send until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._serve_streams)
+            nursery.start_soon(serve_connections, self._streams, self._answer, MAXIMUM_STREAMS)
             while True:
                 await trio.lowlevel.wait_readable(self._datagrams)
                 self._drain()
@@ -108,29 +109,15 @@
             stream.shutdown(trio.socket.SHUT_WR)
             return await _read_to_end(stream, MAXIMUM_ANSWER_BYTES)
 
-    async def _serve_streams(self) -> None:
-        listening = trio.socket.from_stdlib_socket(self._streams)
-        limit = trio.CapacityLimiter(MAXIMUM_STREAMS)
-        async with trio.open_nursery() as nursery:
-            while True:
-                try:
-                    stream, _ = await listening.accept()
-                except OSError:
-                    await trio.sleep(0.05)
-                    continue
-                nursery.start_soon(self._answer, stream, limit)
-
-    async def _answer(self, stream: trio.socket.SocketType, limit: trio.CapacityLimiter) -> None:
-        with stream:
-            async with limit:
-                with trio.move_on_after(FETCH_TIMEOUT_S):
-                    try:
-                        question = self._questions.decode(await _read_to_end(stream, MAXIMUM_QUESTION_BYTES))
-                        data = self._encode_answer(question)
-                        while data:
-                            data = data[await stream.send(data) :]
-                    except (OSError, msgspec.MsgspecError):
-                        return
+    async def _answer(self, stream: trio.socket.SocketType) -> None:
+        with trio.move_on_after(FETCH_TIMEOUT_S):
+            try:
+                question = self._questions.decode(await _read_to_end(stream, MAXIMUM_QUESTION_BYTES))
+                data = self._encode_answer(question)
+                while data:
+                    data = data[await stream.send(data) :]
+            except (OSError, msgspec.MsgspecError):
+                return
 
     def _encode_answer(self, question: StreamQuestion) -> bytes:
         """Return the answer, empty where nothing is known here."""
