--- a/features/forwarding/store.feature
+++ b/features/forwarding/store.feature
@@ -16,6 +16,7 @@
 
   Scenario: A peer that knows more is asked, and the store where no peer answers
     Given a forwarding node with routes and back ends
+    And three readers that know no more than it does
     When forwarding hears of a newer version from a peer
     Then forwarding asks that peer for it within a fifth of a second
     And forwarding reads the routes within a second where no peer answers
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -34,11 +34,19 @@
     TimerFired,
 )
 from sloepond.core.forwarding.follower import CONFIRM_AFTER_S, Follower
-from sloepond.core.forwarding.node import STALL_TRUST_S, STOP_FORWARD_S
+from sloepond.core.forwarding.node import STOP_FORWARD_S
 from sloepond.core.forwarding.packets import Refusal
-from sloepond.core.forwarding.peer_messages import ChangesAsked, Heartbeat, Knowledge, KnownBackend
+from sloepond.core.forwarding.peer_messages import (
+    Changes,
+    ChangesAsked,
+    Confirmation,
+    Heartbeat,
+    Knowledge,
+    KnownBackend,
+)
 from sloepond.core.forwarding.readers import Role
 from sloepond.core.forwarding.routes import RouteConfiguration
+from sloepond.core.forwarding.stall_guard import STALL_TRUST_S
 
 PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=60)
 GRACE_S = 6.0
@@ -154,6 +162,19 @@
     check()
 
 
+@given("three readers that know no more than it does")
+def three_readers(context):
+    hear_readers(context.harness)
+
+
+def hear_readers(harness):
+    """Let three readers confirm what the node knows, so that it stays a listener."""
+    changes = Changes(7, None, 10, 10, 0)
+    for identity in (11, 12, 13):
+        confirmation = Confirmation(identity, 1.0, 1, False, 0.0, changes)
+        harness.handle(PeerMessageReceived("10.1.0.3", confirmation))
+
+
 @when("forwarding hears of a newer version from a peer")
 def hears_newer(context):
     harness = context.harness
@@ -251,6 +272,7 @@
 @when("forwarding has slept for three seconds as a listener")
 def slept_listening(context):
     harness = context.harness
+    hear_readers(harness)
     harness.run_to(harness.now + 0.5, TimerFired())
     assert harness.node.role is Role.LISTENER
     harness.commands.clear()
--- a/sloepond/core/forwarding/forwarder.py
+++ b/sloepond/core/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 from sloepond.core.forwarding.route_table import RouteTable
 from sloepond.core.forwarding.routes import Route
 from sloepond.core.forwarding.selection import SILENCE_S, Selector
+from sloepond.core.forwarding.stall_guard import StallGuard
 from sloepond.core.forwarding.unrouted import UnroutedOpenings
 
 LAST_RESORT_S = 2.0
@@ -36,7 +37,7 @@
 class Forwarder:
     """Decides on packets; pure but for what it counts.
 
-    :ivar may_place: whether what is known is fresh enough to place new flows.
+    :param stall_guard: whether what is known is fresh enough to place new flows.
     """
 
     def __init__(
@@ -44,17 +45,18 @@
         zone: str,
         routes: RouteTable,
         backends: BackendDirectory,
+        stall_guard: StallGuard,
         counters: ForwardingCounters,
         random_source: random.Random,
     ) -> None:
         self._routes = routes
         self._backends = backends
+        self._stall_guard = stall_guard
         self._counters = counters
         self._selector = Selector(zone, random_source)
         self.observer = FlowObserver()
         self.admission = Admission()
         self._unrouted = UnroutedOpenings()
-        self.may_place = True
 
     def decide(self, segment: Segment, now: float) -> Decision:
         """Return what becomes of a packet.
@@ -76,7 +78,7 @@
     def _decide_opening(self, segment: Segment, now: float) -> Decision:
         if not self._routes.version:
             return _WAITS if len(self._backends) else _NOT_CONFIGURED
-        if not self.may_place:
+        if not self._stall_guard.may_place:
             return _STALE
         route = self._routes.find(segment.route_key)
         if route is None:
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -53,6 +53,7 @@
 from sloepond.core.forwarding.readers import ReaderElection, Role
 from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.core.forwarding.route_table import RouteTable
+from sloepond.core.forwarding.stall_guard import STALL_S, StallGuard
 from sloepond.core.forwarding.store_answers import StoreAnswers
 
 STOP_FORWARD_S = 1.8
@@ -60,10 +61,6 @@
 IDENTITY_BITS = 63
 HOUSEKEEPING_S = 0.5
 """Time between looks for what can be forgotten."""
-STALL_S = 0.6
-"""Lateness of a timer above which the process counts as having slept."""
-STALL_TRUST_S = 1.0
-"""How long after a stall new flows wait for a read of the store to be answered."""
 
 
 class ForwardingNode:
@@ -89,11 +86,14 @@
         self.counters = ForwardingCounters()
         self.routes = RouteTable(random_source)
         self.backends = BackendDirectory(places)
-        self._forwarder = Forwarder(zone, self.routes, self.backends, self.counters, random_source)
         self._followers = {
             Subject.ROUTES: Follower(Subject.ROUTES, random_source),
             Subject.BACKENDS: Follower(Subject.BACKENDS, random_source),
         }
+        self._stall_guard = StallGuard(self._followers.values())
+        self._forwarder = Forwarder(
+            zone, self.routes, self.backends, self._stall_guard, self.counters, random_source
+        )
         self._reachability = Reachability(self.backends, random_source)
         peers = PeerTable(ip, zone, seeds, random_source)
         self._dissemination = Dissemination(
@@ -122,8 +122,6 @@
         self._now = 0.0
         self._deadline = NEVER
         self._housekeeping_at = 0.0
-        self._trust_again_at = NEVER
-        self._stalled_at = -NEVER
         self._stop_at = NEVER
         self._started_at = 0.0
         self.is_stopping = False
@@ -208,7 +206,7 @@
         self._now = now
         if isinstance(event, StoreEvent):
             self._answers.take(event, now)
-            self._update_trust()
+            self._stall_guard.store_answered()
         elif isinstance(event, TimerFired):
             self._on_time()
         elif isinstance(event, StopRequested):
@@ -267,7 +265,7 @@
         deadline = min(
             self._housekeeping_at,
             self._stop_at,
-            self._trust_again_at,
+            self._stall_guard.next_deadline(),
             self._exchange.next_deadline(),
             self._dissemination.next_deadline(),
             self._forwarder.admission.next_deadline(self._now),
@@ -313,8 +311,7 @@
         if self._now >= self._stop_at:
             self._stop_at = NEVER
             self._commands.append(CompleteStop())
-        if self._now >= self._trust_again_at:
-            self._trust()
+        self._stall_guard.on_time(self._now)
         self._exchange.on_time(self._now)
         self._dissemination.on_time(self._now)
         released = self._forwarder.release(self._now)
@@ -330,26 +327,12 @@
             self._dissemination.forget(self._now)
 
     def _notice_stall(self, now: float) -> None:
-        """Place no flow until what is known has been confirmed, for a while at most."""
+        """Note that the process has slept since its deadline."""
         late_s = now - self._deadline
         self._deadline = now
         self.counters.stalls_detected += 1
         self._log(LogKind.STALLED, "process", f"late_s={late_s:.2f}")
-        self._forwarder.may_place = False
-        self._trust_again_at = now + STALL_TRUST_S
-        self._stalled_at = now
-        for follower in self._followers.values():
-            follower.distrust(now)
-
-    def _update_trust(self) -> None:
-        if self._forwarder.may_place:
-            return
-        if all(follower.confirmed_at > self._stalled_at for follower in self._followers.values()):
-            self._trust()
-
-    def _trust(self) -> None:
-        self._forwarder.may_place = True
-        self._trust_again_at = NEVER
+        self._stall_guard.stalled(now)
 
     def _request_stop(self) -> None:
         if self.is_stopping:
