A fleet that has lost all elects readers after 0.3 s and gathers changes briefly at first

The fresh ones read a list of 3 back ends at 36.11 s and looked again at 37.37 s only: nobody claims to be a reader in the first second, and a watch is asked again after 1.0 s. Meanwhile packets of open flows were dropped for unknown tokens and new flows waited for the few listed ones. Ruled out: peers (all had lost all), the token (it can't tell an address). Change: a fresh process waits 0.3 s for a reader's confirmation (it asks for one at once); for 3 s after it begins, or after a failed call, a watcher asks again after 0.2 s.

--- a/features/forwarding/readers.feature
+++ b/features/forwarding/readers.feature
@@ -60,6 +60,17 @@
     When a back end of the forwarding fleet leaves and a process is started anew
     Then the forwarding fleet knows all within 2 seconds
 
+  Scenario: A fleet that was killed whole learns of entries as they come back
+    Given a simulated fleet of 20 forwarding nodes
+    When most entries lapse, the whole forwarding fleet is killed, and the entries come back within 0.3 seconds
+    Then the forwarding fleet knows all within 0.5 seconds
+
+  Scenario: A fleet that was killed whole asks the store at a bounded rate
+    Given a simulated fleet of 40 forwarding nodes
+    When the whole forwarding fleet is killed and started anew
+    Then the forwarding fleet calls the store less than 200 times in its first 6 seconds
+    And the forwarding fleet has 3 readers after 1 seconds
+
   Scenario: Differences of routes lead from one version to another and nowhere else
     Then forwarding property: a difference of routes makes the newer version out of the older one only
 
--- a/features/steps/forwarding_readers_steps.py
+++ b/features/steps/forwarding_readers_steps.py
@@ -5,7 +5,7 @@
 import random
 
 from behave import given, then, when
-from forwarding_fleet import Fleet, route
+from forwarding_fleet import STALE_S, Fleet, route
 from forwarding_model import record
 from hypothesis import given as for_all
 from hypothesis import settings
@@ -254,3 +254,44 @@
                         assert mine.state is backend.state or mine.revision > backend.revision
 
     check()
+
+
+def restart_whole(fleet):
+    """Kill all processes and start each anew, within half a second of one another."""
+    for ip in fleet.ips:
+        fleet.kill(ip)
+    for ip in fleet.ips:
+        fleet.run(0.5 / len(fleet.ips))
+        fleet.start(ip)
+
+
+@when(
+    "most entries lapse, the whole forwarding fleet is killed, and the entries come back within 0.3 seconds"
+)
+def lapse_and_kill(context):
+    fleet = context.fleet
+    for number in range(2, 8):
+        fleet.store.remove(number, fleet.now)
+    fleet.run(STALE_S + 1.0)
+    restart_whole(fleet)
+    for number in range(2, 8):
+        fleet.run(0.05)
+        fleet.store.put(number, fleet.now)
+
+
+@then("the forwarding fleet knows all within {seconds:f} seconds")
+def knows_within(context, seconds):
+    context.fleet.run_until_known(seconds)
+
+
+@when("the whole forwarding fleet is killed and started anew")
+def kill_and_start(context):
+    context.calls_before = context.fleet.store.calls
+    restart_whole(context.fleet)
+
+
+@then("the forwarding fleet calls the store less than {count:d} times in its first {seconds:d} seconds")
+def first_calls(context, count, seconds):
+    context.fleet.run(seconds)
+    made = context.fleet.store.calls - context.calls_before
+    assert made < count, made
--- a/sloepond/core/forwarding/follower.py
+++ b/sloepond/core/forwarding/follower.py
@@ -20,6 +20,11 @@
 GATHER_S = {Subject.ROUTES: 0.2, Subject.BACKENDS: 1.0}
 """Least time from the start of one watch to that of the next, so that changes in quick
 succession are answered together: each call is priced."""
+CATCH_UP_S = 3.0
+"""How long after it begins, or after a failed call, a watcher gathers changes briefly:
+entries that lapsed with the store out of reach come back then."""
+CATCH_UP_GATHER_S = 0.2
+"""The least time between two watches meanwhile."""
 RETRY_S = (0.0, 0.05, 0.15, 0.3, 0.5)
 """Waits before the next try after that many failures in a row, at most the last."""
 THROTTLED_RETRY_S = 0.4
@@ -59,6 +64,7 @@
         self._confirm_at = -NEVER
         self._was_broken = False
         self._watch_started_at = -NEVER
+        self._catches_up_until = -NEVER
         self.is_watcher = False
         self.confirmed_at = -NEVER
         self.heard_at = -NEVER
@@ -100,6 +106,7 @@
         self._is_trusted = False
         self._may_begin_stale = False
         self._was_broken = False
+        self._catches_up_until = now + CATCH_UP_S
         self._confirm_at = now
         self._next_call = now
 
@@ -162,7 +169,10 @@
         self._revision = max(self._revision, revision)
         self.heard_at = now
         self.failures = 0
-        self._next_call = max(now, self._watch_started_at + GATHER_S[self._subject])
+        gather_s = GATHER_S[self._subject]
+        if now < self._catches_up_until:
+            gather_s = min(gather_s, CATCH_UP_GATHER_S)
+        self._next_call = max(now, self._watch_started_at + gather_s)
 
     def failed(self, reason: StoreFailure, was_watch: bool, now: float) -> None:
         """Note that a call brought nothing; the next one reads everything."""
@@ -179,6 +189,7 @@
         self.failures += 1
         self._may_begin_stale = False
         self._was_broken = True
+        self._catches_up_until = now + CATCH_UP_S
         self._is_trusted = False
         self._confirm_at = now
         self._next_call = now + wait_s * (0.5 + self._random.random())
--- a/sloepond/core/forwarding/readers.py
+++ b/sloepond/core/forwarding/readers.py
@@ -26,8 +26,9 @@
 """Time for better claims to be heard."""
 FRESH_S = 1.5
 """Age of what is known above which a reader is needed at once."""
-START_S = 1.0
-"""Time for a process that has just started to hear of readers."""
+START_S = 0.3
+"""Time for a process that has just started to hear of readers: it asks peers for their
+last confirmations at once, so silence means that all have just started."""
 URGENT_DELAY_S = 0.35
 """Longest wait before a claim while nothing is confirmed."""
 DELAY_S = 2.0
