Back ends that take twice as long as the middle one get fewer new flows

One that takes more than twice the middle one counts as having that many times fewer slots. None is excluded; what is known fades, so it is tried again. Each balancer goes by its own packets.

--- a/features/forwarding/placement.feature
+++ b/features/forwarding/placement.feature
@@ -26,6 +26,20 @@
     When forwarding learns of a back end that is slow from its start
     Then forwarding gives it less than half of an equal part
 
+  Scenario: A back end that answers slowly is given few new flows, and is tried again later
+    Given a forwarding node with routes and back ends
+    When forwarding sees one back end answer eight times slower than the others
+    Then forwarding gives it less than a fifth of an equal part
+    And forwarding gives it an equal part again 20 seconds later
+
+  Scenario: Back ends that are all slow share the flows
+    Given a forwarding node with routes and back ends
+    When forwarding sees all back ends answer slowly
+    Then forwarding gives each of them an equal part
+
+  Scenario: An estimate of latency stays within what was seen and is forgotten
+    Then forwarding property: an estimated latency lies among those seen, and is unknown 20 seconds later
+
   Scenario: A packet to no route is refused at once, and to no back end too
     Given a forwarding node with routes and back ends
     Then forwarding resets a flow to no route
--- /dev/null
+++ b/features/steps/forwarding_latency_steps.py
@@ -0,0 +1,101 @@
+"""Steps on back ends that answer slowly."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from behave import then, when
+from forwarding_model import STREAM, segment
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from sloepond.core.forwarding.events import TimerFired
+from sloepond.core.forwarding.latency_estimate import LatencyEstimate
+
+PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=80)
+FAST_S = 0.05
+SLOW_S = 0.4
+FLOWS = 200
+SLOW = 3
+"""Number of the slow back end, one of five."""
+
+
+def exchange(harness, backend, port, latency_s):
+    """Let one request go over an open flow, and its answer arrive."""
+    node, token = harness.node, backend.token
+    node.decide(segment(STREAM, port, token, acknowledgement=7), harness.now)
+    node.decide(segment(STREAM, port, token, length=90, acknowledgement=7), harness.now)
+    harness.run_to(harness.now + latency_s, TimerFired())
+    node.decide(segment(STREAM, port, token, acknowledgement=8), harness.now)
+    closing = segment(STREAM, port, token, acknowledgement=8)
+    closing.is_closing = True
+    node.decide(closing, harness.now)
+
+
+def see_latencies(context, latency_of):
+    harness = context.harness
+    backends = [b for b in harness.node.backends if b.service == "booking"]
+    harness.run_to(harness.now + 5.0, TimerFired())
+    for turn in range(4):
+        for backend in backends:
+            exchange(harness, backend, 100 * backend.number + turn, latency_of(backend))
+
+
+@when("forwarding sees one back end answer eight times slower than the others")
+def one_slow(context):
+    see_latencies(context, lambda backend: SLOW_S if backend.number == SLOW else FAST_S)
+
+
+@when("forwarding sees all back ends answer slowly")
+def all_slow(context):
+    see_latencies(context, lambda backend: SLOW_S)
+
+
+def placed_on(context, first_port):
+    """Place flows one after the other, each closed at once; return how many each back end got."""
+    harness = context.harness
+    counts = Counter()
+    for port in range(first_port, first_port + FLOWS):
+        decision = harness.node.decide(segment(STREAM, port, opening=True), harness.now)
+        counts[decision.backend.number] += 1
+        closing = segment(STREAM, port, decision.backend.token)
+        closing.is_closing = True
+        harness.node.decide(closing, harness.now)
+    return counts
+
+
+@then("forwarding gives it less than a fifth of an equal part")
+def few_flows(context):
+    assert placed_on(context, 2000)[SLOW] < FLOWS / 5 / 5
+
+
+@then("forwarding gives it an equal part again 20 seconds later")
+def tried_again(context):
+    context.harness.run_to(context.harness.now + 20.0, TimerFired())
+    assert placed_on(context, 4000)[SLOW] > FLOWS / 5 / 2
+
+
+@then("forwarding gives each of them an equal part")
+def equal_parts(context):
+    counts = placed_on(context, 2000)
+    assert len(counts) == 5 and min(counts.values()) > FLOWS / 5 / 2
+
+
+@then("forwarding property: an estimated latency lies among those seen, and is unknown 20 seconds later")
+def estimate_within(context):
+    @PROPERTY
+    @for_all(st.lists(st.tuples(st.floats(0.001, 9.0), st.floats(0.0, 3.0)), min_size=1, max_size=40))
+    def check(observations):
+        estimate = LatencyEstimate()
+        now = 100.0
+        assert estimate.mean(now) is None
+        for seconds, gap_s in observations:
+            now += gap_s
+            estimate.observe(seconds, now)
+        seen = [seconds for seconds, _ in observations]
+        mean = estimate.mean(now)
+        assert mean is None or min(seen) * 0.999 <= mean <= max(seen) * 1.001
+        assert estimate.mean(now + 20.0) is None
+
+    check()
--- a/sloepond/core/forwarding/backend.py
+++ b/sloepond/core/forwarding/backend.py
@@ -6,6 +6,7 @@
 
 from sloepond.core.deadlines import NEVER
 from sloepond.core.forwarding.backend_records import BackendRecord, BackendState, Endpoint
+from sloepond.core.forwarding.latency_estimate import LatencyEstimate
 from sloepond.core.forwarding.packets import Refusal
 
 TOKEN_BITS = 32
@@ -44,6 +45,7 @@
     :ivar said_leaving: whether it has said that it leaves.
     :ivar flows: flows opened through this balancer and not closed.
     :ivar in_flight: requests seen through this balancer without an answer.
+    :ivar latency: how long it takes to answer.
     :ivar decision: the decision to forward to it.
     :ivar suspicious_decision: the same, and that it is to be checked.
     :ivar silent_until: time until which it is passed over for its silence.
@@ -56,7 +58,7 @@
         "name", "number", "service", "endpoint", "zone", "slots", "state", "token", "prefix",
         "warm_at", "departed_at", "said_leaving", "revision", "flows", "in_flight",
         "silent_until", "token_bytes", "decision", "suspicious_decision", "checked_at",
-        "suspected_until", "unreachable_until",
+        "suspected_until", "unreachable_until", "latency",
     )  # fmt: skip
 
     def __init__(self, record: BackendRecord, now: float) -> None:
@@ -75,6 +77,7 @@
         self.unreachable_until = 0.0
         self.flows = 0
         self.in_flight = 0
+        self.latency = LatencyEstimate()
         self.silent_until = 0.0
         self.departed_at = now
         self.said_leaving = False
--- a/sloepond/core/forwarding/flow_observer.py
+++ b/sloepond/core/forwarding/flow_observer.py
@@ -26,18 +26,23 @@
     """What was seen of one flow.
 
     :ivar acknowledged: last acknowledgement seen, 0 for none.
+    :ivar asked_at: when the request was first seen of which no part of an answer has
+        been acknowledged, 0 for none.
     :ivar sequence: of the last data seen, -1 for none.
     :ivar opened_at: time of the opening packet, 0 for none or once another has followed.
     :ivar requested_at: time of the request under way, 0 for none; a new flow counts as
         one request.
     """
 
-    __slots__ = ("acknowledged", "backend", "last_seen", "opened_at", "requested_at", "sequence")
+    __slots__ = (
+        "acknowledged", "asked_at", "backend", "last_seen", "opened_at", "requested_at", "sequence",
+    )  # fmt: skip
 
     def __init__(self, backend: ForwardingBackend, now: float) -> None:
         self.backend = backend
         self.last_seen = now
         self.acknowledged = 0
+        self.asked_at = 0.0
         self.opened_at = 0.0
         self.requested_at = 0.0
         self.sequence = -1
@@ -84,6 +89,9 @@
         if flow.opened_at:
             self.opening_latency.observe(now - flow.opened_at)
             flow.opened_at = 0.0
+        is_advanced = flow.acknowledged > 0 and segment.acknowledgement != flow.acknowledged
+        if is_advanced and not segment.length:
+            self._latency_seen(flow, now)
         if segment.is_closing or segment.is_reset:
             self._remove(key)
             return False
@@ -91,14 +99,23 @@
         if segment.length:
             is_repeated = flow.sequence == segment.sequence
             flow.sequence = segment.sequence
+            if is_advanced or not flow.asked_at:
+                flow.asked_at = now
             self._request_sent(key, flow, now)
-        elif flow.acknowledged and segment.acknowledgement != flow.acknowledged:
-            if flow.requested_at:
-                self.request_latency.observe(now - flow.requested_at)
+        elif is_advanced:
             self._answer_seen(key, flow)
         flow.acknowledged = segment.acknowledgement
         return is_repeated
 
+    def _latency_seen(self, flow: ObservedFlow, now: float) -> None:
+        """Note the time from a request to the first acknowledgement of its answer."""
+        if not flow.asked_at:
+            return
+        latency_s = now - flow.asked_at
+        flow.asked_at = 0.0
+        self.request_latency.observe(latency_s)
+        flow.backend.latency.observe(latency_s, now)
+
     def forget_resting(self, now: float) -> None:
         """Forget flows that rest."""
         flows = self._flows
--- /dev/null
+++ b/sloepond/core/forwarding/latency_estimate.py
@@ -0,0 +1,34 @@
+"""How long one back end takes to answer, as far as it was seen lately."""
+
+from __future__ import annotations
+
+HALF_LIFE_S = 2.0
+"""Time after which what was seen counts half."""
+LEAST_WEIGHT = 2.0
+"""Answers, weighted by age, below which nothing is said of a back end."""
+
+
+class LatencyEstimate:
+    """Mean of the latencies seen, the newer ones counting more."""
+
+    __slots__ = ("_mean", "_seen_at", "_weight")
+
+    def __init__(self) -> None:
+        self._mean = 0.0
+        self._weight = 0.0
+        self._seen_at = 0.0
+
+    def observe(self, seconds: float, now: float) -> None:
+        """Take the latency of one answer."""
+        weight = self._weight_at(now)
+        self._mean = (self._mean * weight + seconds) / (weight + 1.0)
+        self._weight = weight + 1.0
+        self._seen_at = now
+
+    def mean(self, now: float) -> float | None:
+        """Return the mean in seconds, None where too little was seen lately."""
+        return self._mean if self._weight_at(now) >= LEAST_WEIGHT else None
+
+    def _weight_at(self, now: float) -> float:
+        faded: float = 0.5 ** ((now - self._seen_at) / HALF_LIFE_S)
+        return self._weight * faded
--- a/sloepond/core/forwarding/selection.py
+++ b/sloepond/core/forwarding/selection.py
@@ -16,6 +16,9 @@
 OTHER_ZONE_LOAD = 0.5
 """Load for each slot added for standing in another zone: bytes between zones are priced,
 but a back end near by is not loaded much more for it."""
+SLOW_FACTOR = 2.0
+"""How many times longer than the middle one of a service a back end takes to answer
+before it counts as slow."""
 SILENCE_S = 2.0
 """How long a back end that left an opening packet unanswered is passed over."""
 
@@ -44,17 +47,39 @@
         audible = [backend for backend in usable if backend.silent_until <= now] or usable
         if not audible:
             return None
+        typical_s = _typical_latency(audible, now)
         offset = self._random.randrange(len(audible))
         best = audible[offset]
-        best_load = self._load(best, now)
+        best_load = self._load(best, typical_s, now)
         for backend in (*audible[offset + 1 :], *audible[:offset]):
-            load = self._load(backend, now)
+            load = self._load(backend, typical_s, now)
             if load < best_load:
                 best, best_load = backend, load
         return best
 
-    def _load(self, backend: ForwardingBackend, now: float) -> float:
-        """Return the expected load for each slot."""
+    def _load(self, backend: ForwardingBackend, typical_s: float, now: float) -> float:
+        """Return the expected load for each slot.
+
+        :param typical_s: usual latency of an answer, 0 where it is not known.
+        """
         slots = backend.slots * (COLD_FACTOR if now < backend.warm_at else 1.0)
+        slots /= _slowness(backend, typical_s, now)
         load = (backend.in_flight + FLOW_WEIGHT * backend.flows + 1.0) / slots
         return load if backend.zone == self._zone else load + OTHER_ZONE_LOAD
+
+
+def _typical_latency(candidates: Sequence[ForwardingBackend], now: float) -> float:
+    """Return the latency in seconds of the middle one, 0 where too few are known to have a middle."""
+    known = [latency for backend in candidates if (latency := backend.latency.mean(now)) is not None]
+    if 2 * len(known) < len(candidates):
+        return 0.0
+    known.sort()
+    return known[len(known) // 2]
+
+
+def _slowness(backend: ForwardingBackend, typical_s: float, now: float) -> float:
+    """Return how many times longer than usual a back end takes, 1 unless that is far from usual."""
+    latency_s = backend.latency.mean(now)
+    if latency_s is None or not typical_s or latency_s < SLOW_FACTOR * typical_s:
+        return 1.0
+    return latency_s / typical_s
