--- a/features/forwarding/admission.feature
+++ b/features/forwarding/admission.feature
@@ -17,7 +17,3 @@
 
   Scenario: An answer makes room
     Then forwarding property: requests in flight are counted from packets and never below zero
-
-  Scenario: A balancer that has just started lets no flow wait for room
-    Given a forwarding node with routes and back ends
-    Then forwarding places 20 flows at once
--- a/sloepond/core/forwarding/admission.py
+++ b/sloepond/core/forwarding/admission.py
@@ -16,6 +16,8 @@
 
 QUEUE_PER_BACKEND = 6
 """Requests a back end is taken to queue besides those it works on."""
+YOUNG_S = 2.0
+"""Age below which a balancer takes the least part: it does not know its peers yet."""
 LONGEST_HOLD_S = 0.6
 """How long a new flow waits for room at most.  Its caller gives up after 1.4 s."""
 MAXIMUM_HELD = 256
@@ -46,16 +48,23 @@
 
     def __init__(self) -> None:
         self.balancers = 1
+        self._started = 0.0
         self._held: dict[int, HeldOpening] = {}
         self._admitted: dict[int, float] = {}
 
-    def limit(self, backend: ForwardingBackend) -> int:
+    def start(self, now: float) -> None:
+        """Begin as a young balancer."""
+        self._started = now
+
+    def limit(self, backend: ForwardingBackend, now: float) -> int:
         """Return how many requests this balancer may have under way at a back end."""
+        if now - self._started < YOUNG_S:
+            return 1
         return max(1, round((backend.slots + QUEUE_PER_BACKEND) / self.balancers))
 
-    def room(self, candidates: Iterable[ForwardingBackend]) -> int:
+    def room(self, candidates: Iterable[ForwardingBackend], now: float) -> int:
         """Return for how many more requests there is room at these back ends."""
-        return sum(max(0, self.limit(backend) - backend.in_flight) for backend in candidates)
+        return sum(max(0, self.limit(backend, now) - backend.in_flight) for backend in candidates)
 
     def may_hold(self, segment: Segment) -> bool:
         """Tell whether a new flow may wait; one that has waited is placed anyway."""
--- a/sloepond/core/forwarding/forwarder.py
+++ b/sloepond/core/forwarding/forwarder.py
@@ -122,7 +122,7 @@
         return self.admission.may_hold(segment)
 
     def _has_room(self, service: str, now: float) -> bool:
-        return self.admission.room(self._backends.candidates(service)) > 0
+        return self.admission.room(self._backends.candidates(service), now) > 0
 
     def _service_with_room(self, route: Route, now: float) -> str | None:
         for share in route.shares:
@@ -154,7 +154,7 @@
             return []
         self.observer.expire_requests(now)
         rooms = {
-            service: self.admission.room(self._backends.candidates(service)) for service in services
+            service: self.admission.room(self._backends.candidates(service), now) for service in services
         }
         return self.admission.release(rooms, now)
 
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -180,6 +180,7 @@
         """Start; `now` in seconds of a monotonic clock."""
         self._now = now
         self._housekeeping_at = now + HOUSEKEEPING_S
+        self._forwarder.admission.start(now)
         self._started_at = now
         self._ask_store()
         return self._finish()
