--- a/features/forwarding/admission.feature
+++ b/features/forwarding/admission.feature
@@ -17,3 +17,7 @@
 
   Scenario: An answer makes room
     Then forwarding property: requests in flight are counted from packets and never below zero
+
+  Scenario: A balancer that has just started takes one request at each back end
+    Given a forwarding node with routes and back ends
+    Then forwarding places as many flows at once as the service has back ends, and lets the next one wait
--- a/features/steps/forwarding_placement_steps.py
+++ b/features/steps/forwarding_placement_steps.py
@@ -217,6 +217,14 @@
     assert context.held < 40
 
 
+@then("forwarding places as many flows at once as the service has back ends, and lets the next one wait")
+def least_part(context):
+    backends = [backend for backend in records() if backend.service == "booking"]
+    placed = Counter(place(context.harness, port=port).backend.name for port in range(len(backends)))
+    assert placed == Counter({backend.name: 1 for backend in backends})
+    assert place(context.harness, port=len(backends)).hold
+
+
 @when("forwarding has flows of two priorities waiting and one place becomes free")
 def two_priorities(context):
     harness = context.harness
