--- a/features/steps/forwarding_metrics_steps.py
+++ b/features/steps/forwarding_metrics_steps.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from behave import then, when
-from forwarding_model import STREAM, segment
+from forwarding_model import STREAM, record, segment
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -64,6 +64,36 @@
     assert samples(context)[("sloepond_request_seconds_count", "")] == 0
 
 
+@when("forwarding sees three requests to one back end answered in 300 ms")
+def three_answered(context):
+    for port in (2000, 2001, 2002):
+        see(context.harness, 0.0, segment(port=port, token=1, acknowledgement=7))
+        see(context.harness, 0.0, segment(port=port, token=1, length=100, acknowledgement=7))
+        see(context.harness, 0.3, segment(port=port, token=1, acknowledgement=8))
+
+
+def told_latencies(context):
+    """Return the latencies told by the name of the back end."""
+    text = metrics_page(context.harness.node, context.harness.now).body.decode()
+    return {
+        sample.labels["backend"]: sample.value
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+        if sample.name == "sloepond_backend_latency_seconds"
+    }
+
+
+@then("the forwarding metrics tell a latency of 0.3 s for that back end only")
+def one_latency(context):
+    assert told_latencies(context) == {record(1).name: 0.3}
+
+
+@then("the forwarding metrics tell none 20 seconds later")
+def no_latency(context):
+    context.harness.now += 20.0
+    assert told_latencies(context) == {}
+
+
 @then("forwarding property: counts of a histogram only grow with its bounds and end at the total")
 def adds_up(context):
     @PROPERTY
--- a/sloepond/runtime/forwarding/log_writer.py
+++ b/sloepond/runtime/forwarding/log_writer.py
@@ -64,10 +64,13 @@
     def flow_placed(self, segment: Segment, backend: ForwardingBackend, node: KnowledgeVersions) -> None:
         """Write a line about a new flow and its back end."""
         if self._may_write():
+            now = monotonic_seconds()
+            latency_s = backend.latency.mean(now)
+            latency = "unknown" if latency_s is None else f"{latency_s:.3f}"
             detail = (
                 f"backend={backend.name} service={backend.service} copy={segment.acknowledgement} "
-                f"backend_flows={backend.flows} in_flight={backend.in_flight} "
-                f"{node.knowledge(monotonic_seconds())}"
+                f"backend_flows={backend.flows} in_flight={backend.in_flight} latency_s={latency} "
+                f"{node.knowledge(now)}"
             )
             self._put(LogKind.FLOW_PLACED, flow_name(segment), detail)
 
--- a/sloepond/runtime/forwarding/metrics.py
+++ b/sloepond/runtime/forwarding/metrics.py
@@ -28,6 +28,11 @@
         f"{backend.in_flight}"
         for backend in node.backends
     )
+    lines.extend(
+        f'{PREFIX}backend_latency_seconds{{backend="{backend.name}"}} {latency_s:.3f}'
+        for backend in node.backends
+        if (latency_s := backend.latency.mean(now)) is not None
+    )
     for name, histogram in node.latencies.items():
         lines.extend(_histogram_lines(f"{PREFIX}{name}", histogram))
     return Page(200, "\n".join([*lines, ""]).encode(), "text/plain; version=0.0.4")
