A caller that gives up tells of a back end that hangs

Change: a flow that is closed or reset by its caller with a request open counts its wait as a latency of its back end. Test first (one that hangs got an equal part before).

--- a/features/forwarding/placement.feature
+++ b/features/forwarding/placement.feature
@@ -32,6 +32,11 @@
     Then forwarding gives it less than a fifth of an equal part
     And forwarding gives it an equal part again 20 seconds later
 
+  Scenario: A back end whose callers give up is given few new flows
+    Given a forwarding node with routes and back ends
+    When forwarding sees callers of one back end close without an answer
+    Then forwarding gives it less than a fifth of an equal part
+
   Scenario: Back ends that are all slow share the flows
     Given a forwarding node with routes and back ends
     When forwarding sees all back ends answer slowly
--- a/features/steps/forwarding_latency_steps.py
+++ b/features/steps/forwarding_latency_steps.py
@@ -21,25 +21,29 @@
 """Number of the slow back end, one of five."""
 
 
-def exchange(harness, backend, port, latency_s):
-    """Let one request go over an open flow, and its answer arrive."""
+def exchange(harness, backend, port, latency_s, is_answered=True):
+    """Let one request go over an open flow, its answer arrive if there is one, and the flow close."""
     node, token = harness.node, backend.token
     node.decide(segment(STREAM, port, token, acknowledgement=7), harness.now)
     node.decide(segment(STREAM, port, token, length=90, acknowledgement=7), harness.now)
     harness.run_to(harness.now + latency_s, TimerFired())
-    node.decide(segment(STREAM, port, token, acknowledgement=8), harness.now)
-    closing = segment(STREAM, port, token, acknowledgement=8)
+    acknowledgement = 8 if is_answered else 7
+    if is_answered:
+        node.decide(segment(STREAM, port, token, acknowledgement=acknowledgement), harness.now)
+    closing = segment(STREAM, port, token, acknowledgement=acknowledgement)
     closing.is_closing = True
     node.decide(closing, harness.now)
 
 
-def see_latencies(context, latency_of):
+def see_latencies(context, latency_of, is_answered=lambda backend: True):
+    """Let four requests go to each back end."""
     harness = context.harness
     backends = [b for b in harness.node.backends if b.service == "booking"]
     harness.run_to(harness.now + 5.0, TimerFired())
     for turn in range(4):
         for backend in backends:
-            exchange(harness, backend, 100 * backend.number + turn, latency_of(backend))
+            port = 100 * backend.number + turn
+            exchange(harness, backend, port, latency_of(backend), is_answered(backend))
 
 
 @when("forwarding sees one back end answer eight times slower than the others")
@@ -47,6 +51,15 @@
     see_latencies(context, lambda backend: SLOW_S if backend.number == SLOW else FAST_S)
 
 
+@when("forwarding sees callers of one back end close without an answer")
+def one_hangs(context):
+    see_latencies(
+        context,
+        lambda backend: SLOW_S if backend.number == SLOW else FAST_S,
+        lambda backend: backend.number != SLOW,
+    )
+
+
 @when("forwarding sees all back ends answer slowly")
 def all_slow(context):
     see_latencies(context, lambda backend: SLOW_S)
--- a/sloepond/core/forwarding/flow_observer.py
+++ b/sloepond/core/forwarding/flow_observer.py
@@ -93,6 +93,7 @@
         if is_advanced and not segment.length:
             self._latency_seen(flow, now)
         if segment.is_closing or segment.is_reset:
+            self._given_up(flow, now)
             self._remove(key)
             return False
         is_repeated = False
@@ -116,6 +117,11 @@
         self.request_latency.observe(latency_s)
         flow.backend.latency.observe(latency_s, now)
 
+    def _given_up(self, flow: ObservedFlow, now: float) -> None:
+        """Take the wait of a caller that closes without an answer as the least latency."""
+        if flow.asked_at:
+            flow.backend.latency.observe(now - flow.asked_at, now)
+
     def forget_resting(self, now: float) -> None:
         """Forget flows that rest."""
         flows = self._flows
