--- a/sloepond/core/forwarding/latency_estimate.py
+++ b/sloepond/core/forwarding/latency_estimate.py
@@ -27,7 +27,9 @@
 
     def mean(self, now: float) -> float | None:
         """Return the mean in seconds, None where too little was seen lately."""
-        return self._mean if self._weight_at(now) >= LEAST_WEIGHT else None
+        if self._weight < LEAST_WEIGHT or self._weight_at(now) < LEAST_WEIGHT:
+            return None
+        return self._mean
 
     def _weight_at(self, now: float) -> float:
         faded: float = 0.5 ** ((now - self._seen_at) / HALF_LIFE_S)
--- a/sloepond/core/forwarding/selection.py
+++ b/sloepond/core/forwarding/selection.py
@@ -47,39 +47,36 @@
         audible = [backend for backend in usable if backend.silent_until <= now] or usable
         if not audible:
             return None
-        typical_s = _typical_latency(audible, now)
+        latencies = [backend.latency.mean(now) for backend in audible]
+        typical_s = _typical_latency(latencies)
+        loads = [
+            self._load(backend, _slowness(latency_s, typical_s), now)
+            for backend, latency_s in zip(audible, latencies, strict=True)
+        ]
         offset = self._random.randrange(len(audible))
-        best = audible[offset]
-        best_load = self._load(best, typical_s, now)
-        for backend in (*audible[offset + 1 :], *audible[:offset]):
-            load = self._load(backend, typical_s, now)
-            if load < best_load:
-                best, best_load = backend, load
-        return best
-
-    def _load(self, backend: ForwardingBackend, typical_s: float, now: float) -> float:
+        order = [(offset + step) % len(audible) for step in range(len(audible))]
+        return audible[min(order, key=loads.__getitem__)]
+
+    def _load(self, backend: ForwardingBackend, slowness: float, now: float) -> float:
         """Return the expected load for each slot.
 
-        :param typical_s: usual latency of an answer, 0 where it is not known.
+        :param slowness: how many times longer than usual it takes to answer.
         """
-        slots = backend.slots * (COLD_FACTOR if now < backend.warm_at else 1.0)
-        slots /= _slowness(backend, typical_s, now)
+        slots = backend.slots * (COLD_FACTOR if now < backend.warm_at else 1.0) / slowness
         load = (backend.in_flight + FLOW_WEIGHT * backend.flows + 1.0) / slots
         return load if backend.zone == self._zone else load + OTHER_ZONE_LOAD
 
 
-def _typical_latency(candidates: Sequence[ForwardingBackend], now: float) -> float:
-    """Return the latency in seconds of the middle one, 0 where too few are known to have a middle."""
-    known = [latency for backend in candidates if (latency := backend.latency.mean(now)) is not None]
-    if 2 * len(known) < len(candidates):
+def _typical_latency(latencies: Sequence[float | None]) -> float:
+    """Return the middle latency in seconds, 0 where that of fewer than half is known."""
+    known = sorted(latency_s for latency_s in latencies if latency_s is not None)
+    if not known or 2 * len(known) < len(latencies):
         return 0.0
-    known.sort()
     return known[len(known) // 2]
 
 
-def _slowness(backend: ForwardingBackend, typical_s: float, now: float) -> float:
+def _slowness(latency_s: float | None, typical_s: float) -> float:
     """Return how many times longer than usual a back end takes, 1 unless that is far from usual."""
-    latency_s = backend.latency.mean(now)
     if latency_s is None or not typical_s or latency_s < SLOW_FACTOR * typical_s:
         return 1.0
     return latency_s / typical_s
