Readers count as gone after 2.0 s; a larger fleet waits longer before its first claim

Traced: a listener claims only when it hears fewer than three readers, and a silent one counted for 2.5 s after its last confirmation; with the look each 0.2 s, the random wait, the claim and the gossip that is over 3 s. Change 2: 0.015 s later for each peer heard of; brief gathering only after a start.

--- a/sloepond/core/forwarding/dissemination.py
+++ b/sloepond/core/forwarding/dissemination.py
@@ -214,7 +214,7 @@
         before = self.election.role
         is_fresh = all(self.age(subject, now) < FRESH_S for subject in Subject)
         hears_peers = now - self._heard_peer_at < HEARS_PEERS_S
-        self.election.on_time(now, is_fresh, hears_peers)
+        self.election.on_time(now, is_fresh, hears_peers, len(self._peers))
         role = self.election.role
         if role is before:
             return
--- a/sloepond/core/forwarding/follower.py
+++ b/sloepond/core/forwarding/follower.py
@@ -21,8 +21,8 @@
 """Least time from the start of one watch to that of the next, so that changes in quick
 succession are answered together: each call is priced."""
 CATCH_UP_S = 3.0
-"""How long after it begins, or after a failed call, a watcher gathers changes briefly:
-entries that lapsed with the store out of reach come back then."""
+"""How long after it begins a watcher gathers changes briefly: after a loss of all
+processes entries that lapsed with the store out of reach may come back then."""
 CATCH_UP_GATHER_S = 0.2
 """The least time between two watches meanwhile."""
 RETRY_S = (0.0, 0.05, 0.15, 0.3, 0.5)
@@ -189,7 +189,6 @@
         self.failures += 1
         self._may_begin_stale = False
         self._was_broken = True
-        self._catches_up_until = now + CATCH_UP_S
         self._is_trusted = False
         self._confirm_at = now
         self._next_call = now + wait_s * (0.5 + self._random.random())
--- a/sloepond/core/forwarding/readers.py
+++ b/sloepond/core/forwarding/readers.py
@@ -18,7 +18,7 @@
 
 READERS = 3
 """Readers a fleet has."""
-READER_SILENT_S = 2.5
+READER_SILENT_S = 2.0
 """Silence after which a reader is taken to be gone."""
 CLAIM_LASTS_S = 0.7
 """How long a claim counts that no confirmation follows."""
@@ -29,6 +29,8 @@
 START_S = 0.3
 """Time for a process that has just started to hear of readers: it asks peers for their
 last confirmations at once, so silence means that all have just started."""
+START_S_PER_PEER = 0.015
+"""The same, for each peer heard of: the larger a fleet that starts, the more claims meet."""
 URGENT_DELAY_S = 0.35
 """Longest wait before a claim while nothing is confirmed."""
 DELAY_S = 2.0
@@ -77,6 +79,7 @@
         self.role = Role.LISTENER
         self._random = random_source
         self._readers: dict[int, KnownReader] = {}
+        self._started_at = -NEVER
         self._check_at = NEVER
         self._claim_at = NEVER
         self._claimed_at = -NEVER
@@ -85,6 +88,7 @@
 
     def start(self, now: float) -> None:
         """Begin as a listener."""
+        self._started_at = now
         self._check_at = now + START_S
 
     @property
@@ -135,17 +139,18 @@
         """Whether the last call to the store has failed."""
         return self._failing_since is not None
 
-    def on_time(self, now: float, is_fresh: bool, hears_peers: bool) -> None:
+    def on_time(self, now: float, is_fresh: bool, hears_peers: bool, peers: int) -> None:
         """Change the role if it is time.
 
         :param is_fresh: whether what is known was confirmed lately.
         :param hears_peers: whether any other balancer is heard.
+        :param peers: other balancers known.
         """
         if now < self.next_deadline():
             return
         self._check_at = now + CHECK_INTERVAL_S
         if self.role is Role.LISTENER:
-            self._consider_claim(now, is_fresh)
+            self._consider_claim(now, is_fresh, peers)
         elif self.role is Role.CLAIMANT:
             self._consider_claim_won(now)
         else:
@@ -159,9 +164,10 @@
         for key in gone:
             del self._readers[key]
 
-    def _consider_claim(self, now: float, is_fresh: bool) -> None:
+    def _consider_claim(self, now: float, is_fresh: bool, peers: int) -> None:
         heard = self.readers_heard(now)
-        if heard >= READERS or now < self._barred_until:
+        may_claim_at = max(self._barred_until, self._started_at + START_S + START_S_PER_PEER * peers)
+        if heard >= READERS or now < may_claim_at:
             self._claim_at = NEVER
             return
         if self._claim_at == NEVER:
