--- a/benchmarks/attainable.py
+++ b/benchmarks/attainable.py
@@ -13,14 +13,12 @@
 
 from __future__ import annotations
 
-import json
 import pathlib
 import random
 import sys
-import tomllib
-from typing import Any
 
 import msgspec
+from day_report import DayReport, Event, Site, Slice, read_report, read_site
 from outage_model import Outage, OutageModel, RequestKind
 
 WINDOW_S = 2.0
@@ -40,19 +38,6 @@
 """Requests below which a window's loss is not looked at."""
 
 
-class Disturbance(msgspec.Struct, frozen=True):
-    """One entry of a report's list of what happened."""
-
-    kind: str
-    begin: float
-    end: float
-    what: str
-
-    def touches(self, begin: float, end: float) -> bool:
-        """Tell whether it can explain a loss in a window."""
-        return self.begin < end and begin < self.end + AFTERMATH_S
-
-
 class Split(msgspec.Struct):
     """Worth missed on a day, by what it was lost to; in worth."""
 
@@ -67,26 +52,26 @@
 
 def main() -> None:
     """Print the table of the reports named on the command line."""
-    site = tomllib.loads(pathlib.Path(sys.argv[1]).read_text())
+    site = read_site(pathlib.Path(sys.argv[1]))
     print("| report | worth | fixed prices | other prices | outages | start | back ends | balancers | rest |")
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for name in sys.argv[2:]:
-        report = json.loads(pathlib.Path(name).read_text())
+        report = read_report(pathlib.Path(name))
         split = split_day(site, report)
         figures = " | ".join(f"{value:.4f}" for value in msgspec.structs.astuple(split))
-        print(f"| {pathlib.Path(name).stem} | {report['G']:.4f} | {figures} |")
+        print(f"| {pathlib.Path(name).stem} | {report.worth:.4f} | {figures} |")
 
 
-def split_day(site: dict[str, Any], report: dict[str, Any]) -> Split:
+def split_day(site: Site, report: DayReport) -> Split:
     """Split what one day misses."""
     split = Split()
-    for name, _, price in report["prices"]:
-        if name in FIXED_PRICES:
-            split.fixed_prices += price
+    for price in report.prices:
+        if price.name in FIXED_PRICES:
+            split.fixed_prices += price.worth
         else:
-            split.other_prices += price
+            split.other_prices += price.worth
     lost = _lost_requests(site, report)
-    missed = sum(weight * (1.0 - share) for _, weight, share in report["parts"] if share is not None)
+    missed = sum(part.weight * (1.0 - part.share) for part in report.parts if part.share is not None)
     total = lost.outages + lost.start + lost.backends + lost.balancers + lost.rest
     scale = missed / total if total else 0.0
     split.outages = lost.outages * scale
@@ -97,15 +82,14 @@
     return split
 
 
-def _lost_requests(site: dict[str, Any], report: dict[str, Any]) -> Split:
+def _lost_requests(site: Site, report: DayReport) -> Split:
     """Return the requests lost, by cause."""
-    disturbances = _disturbances(report)
-    outages = _outages(report, disturbances, site)
+    outages = _outages(site, report)
     expected = ExpectedLoss(site, report, outages)
     lost = Split()
-    for window in report["windows"]:
-        begin = float(window["name"])
-        missing = window["n"] * (1.0 - window["worth"])
+    for window in report.windows:
+        begin = float(window.name)
+        missing = window.n * (1.0 - window.worth)
         if missing < LEAST_LOSS:
             lost.rest += missing
             continue
@@ -114,7 +98,7 @@
         lost.outages += in_outages
         lost.start += max(in_starts, 0.0)
         missing -= in_outages + max(in_starts, 0.0)
-        causes = [entry.kind for entry in disturbances if entry.touches(begin, begin + WINDOW_S)]
+        causes = [event.kind for event in report.events if _may_explain(event, begin)]
         if any(kind.startswith(BACKEND_KINDS) for kind in causes):
             lost.backends += missing
         elif any(kind.startswith(BALANCER_KINDS) for kind in causes):
@@ -127,85 +111,87 @@
 class ExpectedLoss:
     """What the model of outages loses in a window, in requests."""
 
-    def __init__(self, site: dict[str, Any], report: dict[str, Any], outages: list[Outage]) -> None:
+    def __init__(self, site: Site, report: DayReport, outages: list[Outage]) -> None:
         zones = _zones(report)
         longer = [Outage(outage.balancer, outage.begin, outage.end + START_S) for outage in outages]
         self._at_once = OutageModel(zones, outages, random.Random(SEED))
         self._started = OutageModel(zones, longer, random.Random(SEED))
         self._kinds = _request_kinds(site, report)
-        self._zone_shares = {zone["name"]: float(zone["n"]) for zone in report["zones"]}
+        self._zone_shares = {zone.name: float(zone.n) for zone in report.zones}
 
-    def in_outages(self, window: dict[str, Any]) -> float:
+    def in_outages(self, window: Slice) -> float:
         """Return the loss with processes that forward as soon as they are started."""
         return self._lost(self._at_once, window)
 
-    def until_started(self, window: dict[str, Any]) -> float:
+    def until_started(self, window: Slice) -> float:
         """Return the loss with processes that need `START_S` to start."""
         return self._lost(self._started, window)
 
-    def _lost(self, model: OutageModel, window: dict[str, Any]) -> float:
-        begin = float(window["name"])
+    def _lost(self, model: OutageModel, window: Slice) -> float:
+        begin = float(window.name)
         share = model.lost_share(self._kinds, self._zone_shares, begin, begin + WINDOW_S)
-        return float(window["n"] * share)
+        return window.n * share
 
 
-def _disturbances(report: dict[str, Any]) -> list[Disturbance]:
-    return [
-        Disturbance(entry["kind"], entry["at_s"], entry["to_s"], str(entry["what"]))
-        for entry in report["events"]
-    ]
+def _may_explain(event: Event, begin: float) -> bool:
+    """Tell whether an event can explain a loss in the window that begins then."""
+    return event.at_s < begin + WINDOW_S and begin < event.to_s + AFTERMATH_S
 
 
-def _zones(report: dict[str, Any]) -> dict[str, list[str]]:
+def _zones(report: DayReport) -> dict[str, list[str]]:
     """Return the balancers of each zone; a balancer's name holds that of its zone."""
-    members: dict[str, list[str]] = {zone["name"]: [] for zone in report["zones"]}
-    for balancer in report["touch"]["out"]:
+    members: dict[str, list[str]] = {zone.name: [] for zone in report.zones}
+    for balancer in report.touch.out:
         for zone, names in members.items():
             if f"-{zone}-" in balancer:
                 names.append(balancer)
     return members
 
 
-def _outages(report: dict[str, Any], disturbances: list[Disturbance], site: dict[str, Any]) -> list[Outage]:
+def _outages(site: Site, report: DayReport) -> list[Outage]:
     """Return when processes that were ended did not run.
 
     A balancer counts as out of touch from the disturbance until `touch_ms` after its
     process was started again.
     """
-    contact_s = site["bounds"]["touch_ms"] / 1000.0
+    contact_s = site.bounds.touch_ms / 1000.0
     outages = []
-    for balancer, spans in report["touch"]["out"].items():
+    for balancer, spans in report.touch.out.items():
         for span in spans.split(", "):
             begin, end = (float(part) for part in span.split(" to "))
             if begin < 0.0:
                 outages.append(Outage(balancer, begin, end - contact_s))
                 continue
-            for entry in disturbances:
-                is_ended = entry.kind.startswith(STOPPING_KINDS)
-                if is_ended and begin <= entry.begin < end and _strikes(entry, balancer):
-                    outages.append(Outage(balancer, entry.begin, end - contact_s))
+            outages.extend(
+                Outage(balancer, event.at_s, end - contact_s)
+                for event in report.events
+                if begin <= event.at_s < end and _ends_process(event, balancer)
+            )
     return outages
 
 
-def _strikes(entry: Disturbance, balancer: str) -> bool:
-    return entry.kind.startswith("closing") or balancer in entry.what.split(", ") or " more" in entry.what
+def _ends_process(event: Event, balancer: str) -> bool:
+    if not event.kind.startswith(STOPPING_KINDS):
+        return False
+    struck = str(event.what)
+    return event.kind.startswith("closing") or balancer in struck.split(", ") or " more" in struck
 
 
-def _request_kinds(site: dict[str, Any], report: dict[str, Any]) -> list[RequestKind]:
-    total = sum(kind["n"] for kind in report["classes"])
-    seen = {kind["name"]: kind for kind in report["classes"]}
+def _request_kinds(site: Site, report: DayReport) -> list[RequestKind]:
+    total = sum(seen.n for seen in report.classes)
+    seen_by_name = {seen.name: seen for seen in report.classes}
     return [
         RequestKind(
-            seen[kind["name"]]["n"] / total,
-            kind["aim_ms"] / 1000.0,
-            kind["deadline_ms"] / 1000.0,
-            seen[kind["name"]]["p50_ms"] / 1000.0,
-            kind["worth"],
-            kind["late_worth"] / kind["worth"],
-            1 + kind["retries"],
+            seen_by_name[kind.name].n / total,
+            kind.aim_ms / 1000.0,
+            kind.deadline_ms / 1000.0,
+            seen_by_name[kind.name].p50_ms / 1000.0,
+            kind.worth,
+            kind.late_worth / kind.worth,
+            1 + kind.retries,
         )
-        for kind in site["classes"]
-        if kind["name"] in seen
+        for kind in site.classes
+        if kind.name in seen_by_name
     ]
 
 
