The other back end of a check is drawn from those that can be reached

Cause: 'a back end is checked once a second ...' met a check without another back end: eight of all were drawn and those being checked sorted out after that, so with many checks at once none was left, though most could be reached; such a check concludes nothing. Change: sort out first, draw then. The scenario failed before and passes.

--- a/sloepond/core/forwarding/reachability.py
+++ b/sloepond/core/forwarding/reachability.py
@@ -52,17 +52,17 @@
 
     def control(self, suspect: ForwardingBackend, now: float) -> Endpoint | None:
         """Return a back end that is listed and not suspected itself, in the same zone if possible."""
-        listed = [backend for backend in self._backends if backend.state is BackendState.READY]
-        drawn = self._random.sample(listed, min(CONTROL_DRAWS, len(listed)))
         usable = [
             backend
-            for backend in drawn
-            if backend.endpoint != suspect.endpoint
+            for backend in self._backends
+            if backend.state is BackendState.READY
+            and backend.endpoint != suspect.endpoint
             and backend.silent_until <= now
             and not backend.is_unreachable(now)
         ]
-        usable.sort(key=lambda backend: backend.zone != suspect.zone)
-        return usable[0].endpoint if usable else None
+        drawn = self._random.sample(usable, min(CONTROL_DRAWS, len(usable)))
+        drawn.sort(key=lambda backend: backend.zone != suspect.zone)
+        return drawn[0].endpoint if drawn else None
 
     def checked(self, backend: ForwardingBackend, result: CheckResult, now: float) -> None:
         """Take the result of a check."""
