--- a/features/forwarding/store_client.feature
+++ b/features/forwarding/store_client.feature
@@ -11,3 +11,17 @@
   Scenario: An answer that trickles without end is given up
     When forwarding reads an answer of ten thousand parts, one each tenth of a second
     Then forwarding gives the answer up after the longest time of a call
+
+  Scenario: A read whose answer comes in two halves is finished, not begun anew
+    When forwarding reads routes that come in two halves
+    Then forwarding knows the routes after one request
+
+  Scenario: A read whose answer stops coming fails
+    When forwarding reads routes of which the second half never comes
+    Then forwarding takes the read as timed out
+
+  Scenario: Responses, requests and queries are what the libraries take them to be
+    Then http property: a response is read as h11 reads it, in whatever pieces it comes
+    And http property: bytes that are no response are an error or wait for more, never an answer
+    And http property: a request is read as h11 reads it, in whatever pieces it comes
+    And http property: a text is quoted as the standard library quotes it
--- a/features/steps/forwarding_client_steps.py
+++ b/features/steps/forwarding_client_steps.py
@@ -2,65 +2,56 @@
 
 from __future__ import annotations
 
-import trio
-import trio.testing
+import base64
+import json
+
+import h11
 from behave import then, when
+from forwarding_loop_model import SimulatedLoop, SimulatedStream
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
 
+from sloepond.core.forwarding.backend_records import Endpoint
+from sloepond.core.forwarding.commands import ReadSubject
+from sloepond.core.forwarding.events import RoutesRead, StoreCallFailed, StoreFailure, Subject
+from sloepond.platform.store import PlatformStoreCodec, quote
 from sloepond.runtime.forwarding.http_client import LONGEST_CALL_S, HttpClient, HttpConnection
 from sloepond.runtime.forwarding.http_exchange import HttpExchange, HttpFailure, HttpResponse
+from sloepond.runtime.forwarding.http_message import BodyReader, HttpSyntaxError, take_head
+from sloepond.runtime.forwarding.store_client import StoreClient
 
 PART = b"0123456789"
 INTERVAL_S = 0.1
 SILENCE_S = 0.7
-
-
-class SlowStream:
-    """A connection whose answer comes in parts; it falls silent after some of them."""
-
-    def __init__(self, parts, sent):
-        self.parts = parts
-        self.sent = sent
-        self.given = -1
-
-    async def send(self, data):
-        """Take the whole request."""
-        return len(data)
-
-    async def recv(self, size):
-        """Return the next part."""
-        await trio.sleep(INTERVAL_S)
-        if self.given < 0:
-            self.given = 0
-            return f"HTTP/1.1 200 OK\r\nContent-Length: {self.parts * len(PART)}\r\n\r\n".encode()
-        if self.given >= self.sent:
-            await trio.sleep_forever()
-        self.given += 1
-        return PART
-
-    def close(self):
-        """Close nothing."""
+PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=300)
 
 
 class SlowClient(HttpClient):
-    """A client whose connections are slow."""
+    """A client whose connections are simulated."""
 
-    def __init__(self, parts, sent):
-        super().__init__("10.0.0.1", 80)
-        self.stream = SlowStream(parts, sent)
+    def __init__(self, loop, stream):
+        super().__init__(loop, Endpoint("10.0.0.1", 80))
+        self.stream = stream
 
-    async def _connect(self):
+    async def _connect(self, patience):
         return HttpConnection(self.stream, HttpExchange("10.0.0.1:80"))
 
 
-def read(context, parts, sent):
-    """Read once; keep the answer and how long it took."""
+def answer_in_parts(loop, data_parts):
+    """Return a stream that brings one part in each interval."""
+    now = loop.clock()
+    return SimulatedStream((now + INTERVAL_S * (n + 1), part) for n, part in enumerate(data_parts))
 
-    async def call():
-        begun = trio.current_time()
-        context.answer = await SlowClient(parts, sent).get("/", SILENCE_S)
-        context.took_s = trio.current_time() - begun
 
-    trio.run(call, clock=trio.testing.MockClock(autojump_threshold=0))
+def read(context, parts, sent):
+    """Read once; keep the answer and how long it took."""
+    loop = SimulatedLoop()
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {parts * len(PART)}\r\n\r\n".encode()
+    stream = answer_in_parts(loop, [head] + [PART] * sent)
+    begun = loop.clock()
+    context.answer = loop.run_to_end(SlowClient(loop, stream).get("/", SILENCE_S))
+    context.took_s = loop.clock() - begun
 
 
 @when("forwarding reads an answer of forty parts, one each tenth of a second")
@@ -94,3 +85,181 @@
 def gives_up_long(context):
     assert context.answer is HttpFailure.TIMED_OUT
     assert abs(context.took_s - LONGEST_CALL_S) < INTERVAL_S
+
+
+def read_routes_in_halves(context, halves):
+    """Read the routes from a store that sends as many halves of its answer."""
+    loop = SimulatedLoop()
+    value = base64.b64encode(json.dumps({"version": 4, "routes": []}).encode()).decode()
+    body = json.dumps({"key": "op/config", "value": value, "at": 3}).encode()
+    data = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+    half = len(data) // 2
+    stream = answer_in_parts(loop, [data[:half], data[half:]][:halves])
+    store = StoreClient(loop, "10.0.0.1:80", PlatformStoreCodec())
+    store._client = SlowClient(loop, stream)
+    context.stream = stream
+    context.event = loop.run_to_end(store.read(ReadSubject(Subject.ROUTES), lambda: None))
+
+
+@when("forwarding reads routes that come in two halves")
+def two_halves(context):
+    read_routes_in_halves(context, 2)
+
+
+@when("forwarding reads routes of which the second half never comes")
+def one_half(context):
+    read_routes_in_halves(context, 1)
+
+
+@then("forwarding knows the routes after one request")
+def one_request(context):
+    assert isinstance(context.event, RoutesRead) and context.event.configuration.version == 4
+    assert context.stream.sent.count(b"GET ") == 1
+
+
+@then("forwarding takes the read as timed out")
+def timed_out(context):
+    assert context.event == StoreCallFailed(Subject.ROUTES, StoreFailure.TIMED_OUT, False)
+    assert context.stream.is_closed
+
+
+BODIES = st.binary(max_size=60)
+CUTS = st.lists(st.integers(1, 50), max_size=12)
+
+
+@st.composite
+def responses(draw):
+    """Return the bytes of a response, whole or broken off, and whether the connection then closes."""
+    body = draw(BODIES)
+    status = draw(st.sampled_from((200, 204, 404, 410, 429, 503)))
+    framing = draw(st.sampled_from(("length", "chunked", "close")))
+    connection = draw(st.sampled_from(("", "Connection: close\r\n", "Connection: Keep-Alive\r\n")))
+    interim = draw(st.sampled_from((b"", b"HTTP/1.1 100 Continue\r\n\r\n")))
+    if framing == "length":
+        header, data = f"content-LENGTH:  {len(body)} \r\n", body
+    elif framing == "chunked":
+        header, data = "Transfer-Encoding: chunked\r\n", chunked(body, draw(CUTS), draw(st.booleans()))
+    else:
+        header, data = "", body
+    if status == 204:
+        header, data = "", b""
+    head = f"HTTP/1.1 {status} Some words\r\n{connection}{header}\r\n".encode()
+    whole = interim + head + data
+    return whole[: draw(st.integers(0, len(whole)))] if draw(st.booleans()) else whole
+
+
+def chunked(body, sizes, with_trailer):
+    """Return a body in chunks."""
+    parts, rest = [], body
+    for size in sizes:
+        part, rest = rest[:size], rest[size:]
+        if part:
+            parts.append(b"%x;name=value\r\n%s\r\n" % (len(part), part))
+    if rest:
+        parts.append(b"%X\r\n%s\r\n" % (len(rest), rest))
+    return b"".join(parts) + b"0\r\n" + (b"Trailer: x\r\n" if with_trailer else b"") + b"\r\n"
+
+
+def pieces(data, cuts):
+    """Return data in pieces of given sizes."""
+    for size in cuts:
+        if data[:size]:
+            yield data[:size]
+        data = data[size:]
+    if data:
+        yield data
+
+
+def by_h11(parts):
+    """Return what h11 makes of a response that ends with the connection: status, body, or None."""
+    connection = h11.Connection(h11.CLIENT)
+    connection.send(h11.Request(method="GET", target="/", headers=[("Host", "a")]))
+    connection.send(h11.EndOfMessage())
+    status, body = 0, b""
+    for data in (*parts, b""):
+        try:
+            connection.receive_data(data)
+            while (event := connection.next_event()) is not h11.NEED_DATA:
+                if isinstance(event, h11.Response):
+                    status = event.status_code
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    return HttpResponse(status, body), connection.their_state is h11.DONE
+                elif isinstance(event, h11.ConnectionClosed):
+                    return None
+        except h11.ProtocolError:
+            return None
+    return None
+
+
+def by_exchange(parts):
+    """Return the same by the project's own reader."""
+    exchange = HttpExchange("a")
+    exchange.request("/")
+    for data in (*parts, b""):
+        try:
+            response = exchange.receive(data)
+        except HttpSyntaxError:
+            return None
+        if response is not None:
+            return response, exchange.is_reusable
+    return None
+
+
+@then("http property: a response is read as h11 reads it, in whatever pieces it comes")
+def read_alike(context):
+    @PROPERTY
+    @for_all(responses(), CUTS)
+    def check(data, cuts):
+        parts = list(pieces(data, cuts))
+        expected, found = by_h11(parts), by_exchange(parts)
+        assert (expected and expected[0]) == (found and found[0]), (data, expected, found)
+        assert not (found and found[1] and not expected[1]), "kept a connection that h11 would not"
+
+    check()
+
+
+@then("http property: bytes that are no response are an error or wait for more, never an answer")
+def no_answer(context):
+    @PROPERTY
+    @for_all(st.binary(max_size=80).filter(lambda data: b"HTTP/" not in data), CUTS)
+    def check(data, cuts):
+        assert by_exchange(list(pieces(data, cuts))) is None
+
+    check()
+
+
+@then("http property: a request is read as h11 reads it, in whatever pieces it comes")
+def requests_alike(context):
+    targets = st.text("abc/?=&%25-", min_size=1, max_size=30).map(lambda text: "/" + text)
+
+    @PROPERTY
+    @for_all(targets, BODIES, CUTS)
+    def check(target, body, cuts):
+        data = f"GET {target} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+        server = h11.Connection(h11.SERVER)
+        server.receive_data(data)
+        expected = server.next_event()
+        buffer, head = bytearray(), None
+        for part in pieces(data, cuts):
+            buffer += part
+            head = head or take_head(buffer)
+        assert head.words == ("GET", expected.target.decode(), "HTTP/1.1")
+        reader = BodyReader(head.content_length, head.is_chunked)
+        reader.take(buffer)
+        assert reader.is_whole and reader.body == body and not buffer
+
+    check()
+
+
+@then("http property: a text is quoted as the standard library quotes it")
+def quoted_alike(context):
+    import urllib.parse
+
+    @PROPERTY
+    @for_all(st.text(max_size=30))
+    def check(text):
+        assert quote(text) == urllib.parse.quote(text)
+
+    check()
--- a/features/steps/forwarding_platform_steps.py
+++ b/features/steps/forwarding_platform_steps.py
@@ -6,7 +6,6 @@
 import pathlib
 import re
 
-import h11
 import msgspec
 from behave import then
 from hypothesis import given as for_all
@@ -31,6 +30,7 @@
 from sloepond.platform.settings import parse_settings
 from sloepond.platform.store import PlatformStoreCodec
 from sloepond.runtime.forwarding.http_exchange import HttpExchange, HttpFailure, HttpResponse
+from sloepond.runtime.forwarding.http_message import HttpSyntaxError
 from sloepond.runtime.forwarding.store_pages import PagedRead
 
 PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=80)
@@ -214,7 +214,7 @@
     assert exchange.receive(whole[:-3]) is None
     try:
         exchange.receive(b"")
-    except h11.ProtocolError:
+    except HttpSyntaxError:
         return
     raise AssertionError("an answer that ends early looks complete")
 
--- a/features/steps/forwarding_reachability_steps.py
+++ b/features/steps/forwarding_reachability_steps.py
@@ -5,7 +5,6 @@
 import itertools
 import socket
 
-import trio
 from behave import then, when
 from forwarding_model import STREAM, Harness, record, segment
 from hypothesis import given as for_all
@@ -27,7 +26,8 @@
 from sloepond.core.forwarding.packets import Refusal
 from sloepond.core.forwarding.peer_messages import BackendUnreachable, Heartbeat
 from sloepond.core.forwarding.reachability import CHECKS_PER_S
-from sloepond.runtime.forwarding.reachability_check import check_reachable
+from sloepond.runtime.forwarding.event_loop import EventLoop
+from sloepond.runtime.forwarding.reachability_check import CHECK_S, ReachabilityCheck
 
 PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=60)
 ALL = range(1, 8)
@@ -231,7 +231,18 @@
                 (silent.endpoint, None, CheckResult.UNKNOWN),
             )
             for endpoint, control, expected in cases:
-                assert trio.run(check_reachable, endpoint, control) is expected, (endpoint, control)
+                assert check_result(endpoint, control) is expected, (endpoint, control)
+
+
+def check_result(endpoint, control):
+    """Return what one check finds, and make sure that it tells so once."""
+    loop, results = EventLoop(), []
+    ReachabilityCheck(loop, endpoint, control, results.append)
+    ends_at = loop.clock() + 2 * CHECK_S
+    loop.follow_deadline(lambda: ends_at, loop.stop)
+    loop.run()
+    assert len(results) == 1, results
+    return results[0]
 
 
 class SilentAddress:
--- a/features/steps/loaded/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Modules that features load."""
--- a/features/steps/loaded/three.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Needed by `needs_three`."""
--- a/sloepond/core/forwarding/commands.py
+++ b/sloepond/core/forwarding/commands.py
@@ -99,6 +99,7 @@
     TOKEN_FOUND = "token_found"
     BEHIND_PEER = "behind_peer"
     KNOWLEDGE_TAKEN = "knowledge_taken"
+    FETCH_FAILED = "fetch_failed"
     ROLE_CHANGED = "role_changed"
     SETTINGS_CHANGED = "settings_changed"
 
--- a/sloepond/core/forwarding/counters.py
+++ b/sloepond/core/forwarding/counters.py
@@ -43,4 +43,9 @@
     peer_messages_received: int = 0
     peer_messages_sent: int = 0
     peer_messages_malformed: int = 0
+    fetches_failed: int = 0
+    receives_failed: int = 0
+    accepts_failed: int = 0
+    connections_turned_away: int = 0
+    connections_broken: int = 0
     log_lines_dropped: int = 0
--- a/sloepond/platform/balancer.py
+++ b/sloepond/platform/balancer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import socket
 
 from sloepond.core.forwarding.commands import LogKind, WriteLog
 from sloepond.core.forwarding.node import ForwardingNode
@@ -11,33 +12,28 @@
 from sloepond.platform.store import PlatformStoreCodec
 from sloepond.runtime.forwarding.data_path import DataPath
 from sloepond.runtime.forwarding.drivers import BoundSockets, ForwardingSettings
-from sloepond.runtime.forwarding.early import EarlyForwarding
+from sloepond.runtime.forwarding.event_loop import EventLoop
 from sloepond.runtime.forwarding.log_writer import LogWriter
+from sloepond.runtime.forwarding.reloading import SettingsReloader
+from sloepond.runtime.forwarding.service import ForwardingService
+from sloepond.runtime.forwarding.store_client import StoreClient
+from sloepond.runtime.garbage_collection import resume_garbage_collection
 
 
-def run_balancer(settings: ForwardingSettings, sockets: BoundSockets, signals: list[int]) -> None:
+def run_balancer(settings: ForwardingSettings, sockets: BoundSockets, signals: socket.socket) -> None:
     """Run until SIGTERM has stopped it.
 
-    :param signals: filled by signal handlers until the service takes signals itself.
+    :param signals: readable socket that receives the number of each signal as a byte.
     """
     node = ForwardingNode(
         settings.zone, random.Random(), settings.ip, settings.seeds, capacity=settings.capacity
     )
     logs = LogWriter(node.counters)
     logs.write(WriteLog(LogKind.STARTED, settings.name, f"zone={settings.zone} store={settings.store}"))
+    loop = EventLoop()
     data_path = DataPath(sockets.edge, EchoPacketCodec(int(settings.edge.rpartition(":")[2])), node, logs)
-    codec = PlatformStoreCodec()
-    host, _, port = settings.store.rpartition(":")
-    early = EarlyForwarding(sockets, data_path, (host, int(port)), codec, node, logs)
-    begun = early.run(signals)
-
-    import trio
-
-    from sloepond.runtime.forwarding.reloading import SettingsReloader
-    from sloepond.runtime.forwarding.service import ForwardingService
-    from sloepond.runtime.forwarding.store_client import StoreClient
-
+    store = StoreClient(loop, settings.store, PlatformStoreCodec())
     reloader = SettingsReloader(read_settings, settings, logs)
-    store = StoreClient(settings.store, codec)
-    service = ForwardingService(sockets, data_path, store, node, logs, reloader)
-    trio.run(service.run, begun)
+    service = ForwardingService(loop, sockets, signals, data_path, store, node, logs, reloader)
+    resume_garbage_collection()
+    service.run()
--- a/sloepond/platform/documents.py
+++ b/sloepond/platform/documents.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import base64
+import binascii
 import socket
 
 import msgspec
@@ -101,7 +101,7 @@
 
     :raises msgspec.MsgspecError, ValueError, OSError: where it is none.
     """
-    document = _CONFIGURATION.decode(base64.b64decode(value))
+    document = _CONFIGURATION.decode(binascii.a2b_base64(value))
     return RouteConfiguration(
         document.version,
         tuple(_route(route) for route in document.routes),
@@ -114,7 +114,7 @@
 
     :raises msgspec.MsgspecError, ValueError: where it is none.
     """
-    document = _SERVER.decode(base64.b64decode(value))
+    document = _SERVER.decode(binascii.a2b_base64(value))
     name = backend_name(key)
     host, _, port = document.addr.rpartition(":")
     return BackendRecord(
--- a/sloepond/platform/store.py
+++ b/sloepond/platform/store.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from urllib.parse import quote
-
 import msgspec
 
 from sloepond.core.forwarding.backend_records import BackendRecord
@@ -33,6 +31,8 @@
 CONFIGURATION_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
 NOTHING_PREFIX = "op/config/"
+UNRESERVED = frozenset(b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/")
+"""Bytes that stand for themselves in a query: those of RFC 3986, and the slash."""
 _UNDECODABLE = (msgspec.MsgspecError, ValueError, OSError)
 _KEY = msgspec.json.Decoder(KeyAnswer)
 _RANGE = msgspec.json.Decoder(RangeAnswer)
@@ -78,6 +78,11 @@
             return StoreCallFailed(command.subject, StoreFailure.MALFORMED, True)
 
 
+def quote(text: str) -> str:
+    """Return a text as it stands in a query; `urllib.parse` takes long to load."""
+    return "".join(chr(byte) if byte in UNRESERVED else f"%{byte:02X}" for byte in text.encode())
+
+
 def _read_routes(body: bytes) -> ReadPage:
     answer = _KEY.decode(body)
     return ReadPage(RoutesRead(answer.at, decode_configuration(answer.value)))
--- /dev/null
+++ b/sloepond/runtime/forwarding/event_loop.py
@@ -0,0 +1,204 @@
+"""A small event loop: coroutines and callbacks of one thread on a selector.
+
+It stands in for trio in the process that runs on the platform, where loading trio takes
+most of a start on a small machine; docs/adr/0011-lean-event-loop.md has the figures.
+Every wait has a deadline, so no coroutine is ever cancelled from outside.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import selectors
+import socket
+import types
+from collections import deque
+from collections.abc import Callable, Coroutine, Generator
+
+from sloepond.core.deadlines import NEVER
+from sloepond.runtime.clock import monotonic_seconds
+
+LONGEST_SELECT_S = 60.0
+"""Longest single wait for sockets; a wait without any deadline is cut into these."""
+FOR_READING = selectors.EVENT_READ
+FOR_WRITING = selectors.EVENT_WRITE
+
+Routine = Coroutine["Wait", None, None]
+"""A coroutine that the loop runs; it waits by the functions of this module."""
+
+
+class Wait:
+    """What a coroutine waits for.
+
+    :ivar deadline: seconds of the loop's clock, `NEVER` for none.
+    :ivar stream: socket to become ready, None where only the time counts.
+    :ivar events: `FOR_READING` or `FOR_WRITING`.
+    """
+
+    __slots__ = ("deadline", "stream", "events")
+
+    def __init__(self, deadline: float, stream: socket.socket | None = None, events: int = 0) -> None:
+        self.deadline = deadline
+        self.stream = stream
+        self.events = events
+
+
+async def readable(stream: socket.socket, deadline: float) -> None:
+    """Wait until a socket can be read from or accepted on.
+
+    :raises TimeoutError: where the deadline passes first.
+    """
+    await _wait(Wait(deadline, stream, FOR_READING))
+
+
+async def writable(stream: socket.socket, deadline: float) -> None:
+    """Wait until a socket can be written to, or until its connection is made or refused.
+
+    :raises TimeoutError: where the deadline passes first.
+    """
+    await _wait(Wait(deadline, stream, FOR_WRITING))
+
+
+async def sleep_until(time: float) -> None:
+    """Wait until a moment of the loop's clock."""
+    await _wait(Wait(time))
+
+
+@types.coroutine
+def _wait(wait: Wait) -> Generator[Wait, None, None]:
+    yield wait
+
+
+class Task:
+    """A coroutine that the loop runs.
+
+    :ivar wait: what it waits for, None while it is due to run.
+    """
+
+    __slots__ = ("routine", "wait")
+
+    def __init__(self, routine: Routine) -> None:
+        self.routine = routine
+        self.wait: Wait | None = None
+
+
+class EventLoop:
+    """Runs coroutines and callbacks until it is stopped.
+
+    An exception that a coroutine or a callback lets through ends the loop.
+
+    :param clock: returns seconds of a monotonic clock.
+    :param selector: waits for sockets; by default the best of the system.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float] = monotonic_seconds,
+        selector: selectors.BaseSelector | None = None,
+    ) -> None:
+        self.clock = clock
+        self._selector = selector or selectors.DefaultSelector()
+        self._timers: list[tuple[float, int, Task, Wait]] = []
+        self._timer_numbers = itertools.count()
+        self._due: deque[Task] = deque()
+        self._tasks: set[Task] = set()
+        self._next_deadline: Callable[[], float] = _never
+        self._on_time: Callable[[], None] = _nothing
+        self._is_stopped = False
+
+    def start(self, routine: Routine) -> None:
+        """Run a coroutine beside the others, from the next step on."""
+        task = Task(routine)
+        self._tasks.add(task)
+        self._due.append(task)
+
+    def watch(self, stream: socket.socket, on_readable: Callable[[], None]) -> None:
+        """Call a function each time a socket can be read from or accepted on."""
+        self._selector.register(stream, FOR_READING, on_readable)
+
+    def follow_deadline(self, next_deadline: Callable[[], float], on_time: Callable[[], None]) -> None:
+        """Call a function whenever a deadline that may move has passed.
+
+        :param next_deadline: asked before each wait.
+        """
+        self._next_deadline = next_deadline
+        self._on_time = on_time
+
+    def stop(self) -> None:
+        """End `run` after the step under way."""
+        self._is_stopped = True
+
+    def run(self) -> None:
+        """Run until stopped; coroutines still waiting are closed."""
+        try:
+            while not self._is_stopped:
+                self.run_once()
+        finally:
+            self._close()
+
+    def run_once(self) -> None:
+        """Wait for what comes next and handle all that has come."""
+        for key, _ in self._selector.select(self._time_to_wait()):
+            if isinstance(key.data, Task):
+                self._resume(key.data)
+            else:
+                key.data()
+        if self.clock() >= self._next_deadline():
+            self._on_time()
+        self._expire_waits()
+        for _ in range(len(self._due)):
+            self._step(self._due.popleft(), None)
+
+    def _time_to_wait(self) -> float:
+        if self._due:
+            return 0.0
+        deadline = min(self._next_deadline(), self._timers[0][0] if self._timers else NEVER)
+        return min(LONGEST_SELECT_S, max(0.0, deadline - self.clock()))
+
+    def _expire_waits(self) -> None:
+        now = self.clock()
+        while self._timers and self._timers[0][0] <= now:
+            _, _, task, wait = heapq.heappop(self._timers)
+            if task.wait is wait:
+                self._time_out(task, wait)
+
+    def _time_out(self, task: Task, wait: Wait) -> None:
+        self._end_wait(task)
+        self._step(task, None if wait.stream is None else TimeoutError())
+
+    def _resume(self, task: Task) -> None:
+        self._end_wait(task)
+        self._step(task, None)
+
+    def _end_wait(self, task: Task) -> None:
+        assert task.wait is not None
+        if task.wait.stream is not None:
+            self._selector.unregister(task.wait.stream)
+        task.wait = None
+
+    def _step(self, task: Task, error: TimeoutError | None) -> None:
+        """Run a task up to its next wait, or to its end."""
+        try:
+            wait = task.routine.send(None) if error is None else task.routine.throw(error)
+        except StopIteration:
+            self._tasks.discard(task)
+            return
+        task.wait = wait
+        if wait.stream is not None:
+            self._selector.register(wait.stream, wait.events, task)
+        if wait.deadline < NEVER:
+            heapq.heappush(self._timers, (wait.deadline, next(self._timer_numbers), task, wait))
+
+    def _close(self) -> None:
+        for task in self._tasks:
+            task.routine.close()
+        self._tasks.clear()
+        self._selector.close()
+
+
+def _never() -> float:
+    return NEVER
+
+
+def _nothing() -> None:
+    """Do nothing: there is no deadline to follow."""
--- a/sloepond/runtime/forwarding/http_client.py
+++ b/sloepond/runtime/forwarding/http_client.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-import h11
-import trio
+import socket
 
+from sloepond.core.forwarding.backend_records import Endpoint
+from sloepond.runtime.forwarding.event_loop import EventLoop, readable
 from sloepond.runtime.forwarding.http_exchange import HttpExchange, HttpFailure, HttpResponse
+from sloepond.runtime.forwarding.http_message import HttpSyntaxError
+from sloepond.runtime.forwarding.streams import connect, send_all
 
 READ_BYTES = 65_536
 LONGEST_CALL_S = 8.0
@@ -15,12 +18,12 @@
 class HttpClient:
     """Calls one server, one call at a time on each kept connection.
 
-    :param host: IP address.
+    :param server: IP address and port.
     """
 
-    def __init__(self, host: str, port: int) -> None:
-        self._host = host
-        self._port = port
+    def __init__(self, loop: EventLoop, server: Endpoint) -> None:
+        self._loop = loop
+        self._server = server
         self._idle: list[HttpConnection] = []
 
     async def get(
@@ -33,25 +36,24 @@
         :param silence_s: longest wait for the next bytes of the answer.
         :param first_wait_s: the same for the first bytes; `silence_s` if not given.
         """
+        patience = Patience(self._loop, silence_s, silence_s if first_wait_s is None else first_wait_s)
         connection: HttpConnection | None = None
-        with trio.move_on_after(silence_s if first_wait_s is None else first_wait_s) as patience:
-            try:
-                connection = self._idle.pop() if self._idle else await self._connect()
-                response = await connection.get(target, Patience(patience, silence_s))
-            except OSError:
-                _close(connection)
-                return HttpFailure.UNREACHABLE
-            except h11.ProtocolError:
-                _close(connection)
-                return HttpFailure.MALFORMED
-            if connection.exchange.is_reusable:
-                self._idle.append(connection)
-            else:
-                connection.close()
+        try:
+            connection = self._idle.pop() if self._idle else await self._connect(patience)
+            response = await connection.get(target, patience)
+        except TimeoutError:
+            failure = HttpFailure.TIMED_OUT
+            self.close()
+        except OSError:
+            failure = HttpFailure.UNREACHABLE
+        except HttpSyntaxError:
+            failure = HttpFailure.MALFORMED
+        else:
+            self._keep(connection)
             return response
-        _close(connection)
-        self.close()
-        return HttpFailure.TIMED_OUT
+        if connection is not None:
+            connection.close()
+        return failure
 
     def close(self) -> None:
         """Close the kept connections."""
@@ -59,40 +61,42 @@
             connection.close()
         self._idle.clear()
 
-    async def _connect(self) -> HttpConnection:
-        stream = trio.socket.socket()
-        try:
-            stream.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
-            await stream.connect((self._host, self._port))
-        except BaseException:
-            stream.close()
-            raise
-        return HttpConnection(stream, HttpExchange(f"{self._host}:{self._port}"))
+    def _keep(self, connection: HttpConnection) -> None:
+        if connection.exchange.is_reusable:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    async def _connect(self, patience: Patience) -> HttpConnection:
+        stream = await connect(self._server, patience.deadline)
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return HttpConnection(stream, HttpExchange(f"{self._server.host}:{self._server.port}"))
 
 
 class Patience:
     """Moves the end of a call on while its answer is coming.
 
-    :param scope: cancels the call at its deadline.
+    :ivar deadline: when the call is given up.
     """
 
-    def __init__(self, scope: trio.CancelScope, silence_s: float) -> None:
-        self._scope = scope
+    def __init__(self, loop: EventLoop, silence_s: float, first_wait_s: float) -> None:
+        self._loop = loop
         self._silence_s = silence_s
         self._latest: float | None = None
+        self.deadline = loop.clock() + first_wait_s
 
     def heard(self) -> None:
         """Note that bytes of the answer have come."""
-        now = trio.current_time()
+        now = self._loop.clock()
         if self._latest is None:
             self._latest = now + LONGEST_CALL_S
-        self._scope.deadline = min(now + self._silence_s, self._latest)
+        self.deadline = min(now + self._silence_s, self._latest)
 
 
 class HttpConnection:
     """One connection to the server."""
 
-    def __init__(self, stream: trio.socket.SocketType, exchange: HttpExchange) -> None:
+    def __init__(self, stream: socket.socket, exchange: HttpExchange) -> None:
         self._stream = stream
         self.exchange = exchange
 
@@ -101,15 +105,14 @@
 
         :param patience: told of all bytes that come.
 
-        :raises OSError: where the connection fails.
-        :raises h11.ProtocolError: where the server does not speak HTTP or breaks off.
+        :raises OSError: where the connection fails, `TimeoutError` where it is too slow.
+        :raises HttpSyntaxError: where the server does not speak HTTP or breaks off.
         """
-        data = self.exchange.request(target)
-        while data:
-            data = data[await self._stream.send(data) :]
+        await send_all(self._stream, self.exchange.request(target), patience.deadline)
         response = None
         while response is None:
-            data = await self._stream.recv(READ_BYTES)
+            await readable(self._stream, patience.deadline)
+            data = self._stream.recv(READ_BYTES)
             patience.heard()
             response = self.exchange.receive(data)
         return response
@@ -117,8 +120,3 @@
     def close(self) -> None:
         """Close the connection."""
         self._stream.close()
-
-
-def _close(connection: HttpConnection | None) -> None:
-    if connection is not None:
-        connection.close()
--- a/sloepond/runtime/forwarding/http_exchange.py
+++ b/sloepond/runtime/forwarding/http_exchange.py
@@ -4,9 +4,15 @@
 
 import enum
 
-import h11
 import msgspec
 
+from sloepond.runtime.forwarding.http_message import BodyReader, HttpHead, HttpSyntaxError, take_head
+
+INFORMATIONAL = range(100, 200)
+"""Statuses of responses that another one follows."""
+WITHOUT_BODY = (204, 304)
+"""Statuses of responses that have no body, whatever their headers say."""
+
 
 class HttpFailure(enum.Enum):
     """Why a call brought no response."""
@@ -27,46 +33,58 @@
     """GET after GET on one connection.
 
     :param host: `ip:port` of the server.
+    :ivar is_reusable: whether another request can be made after the last response.
     """
 
     def __init__(self, host: str) -> None:
         self._host = host
-        self._protocol = h11.Connection(h11.CLIENT)
+        self._buffer = bytearray()
+        self._head: HttpHead | None = None
+        self._body: BodyReader | None = None
         self._status = 0
-        self._parts: list[bytes] = []
-
-    @property
-    def is_reusable(self) -> bool:
-        """Whether another request can be made after the last response."""
-        done = h11.DONE
-        return self._protocol.our_state is done and self._protocol.their_state is done
+        self.is_reusable = False
 
     def request(self, target: str) -> bytes:
         """Return the bytes of a request."""
-        if self.is_reusable:
-            self._protocol.start_next_cycle()
-        self._status = 0
-        self._parts = []
-        request = h11.Request(method="GET", target=target, headers=[("Host", self._host)])
-        data = self._protocol.send(request) or b""
-        return data + (self._protocol.send(h11.EndOfMessage()) or b"")
+        self.is_reusable = False
+        self._head = None
+        self._body = None
+        return f"GET {target} HTTP/1.1\r\nHost: {self._host}\r\n\r\n".encode("ascii")
 
     def receive(self, data: bytes) -> HttpResponse | None:
         """Take bytes of the server; return the response once it is whole.
 
         :param data: empty where the server has closed the connection.
-        :raises h11.ProtocolError: where the server does not speak HTTP or breaks off.
+        :raises HttpSyntaxError: where the server does not speak HTTP or breaks off.
         """
-        self._protocol.receive_data(data)
-        while True:
-            event = self._protocol.next_event()
-            if event is h11.NEED_DATA:
+        self._buffer += data
+        while self._head is None:
+            head = take_head(self._buffer)
+            if head is None:
+                if not data:
+                    raise HttpSyntaxError("the connection closed before a response")
                 return None
-            if isinstance(event, h11.Response):
-                self._status = event.status_code
-            elif isinstance(event, h11.Data):
-                self._parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return HttpResponse(self._status, b"".join(self._parts))
-            elif isinstance(event, h11.ConnectionClosed):
-                raise h11.RemoteProtocolError("the server closed the connection")
+            self._begin_response(head)
+        assert self._body is not None
+        self._body.take(self._buffer)
+        if not data and not self._body.is_whole:
+            self._body.connection_closed()
+        return self._end_response(not data) if self._body.is_whole else None
+
+    def _begin_response(self, head: HttpHead) -> None:
+        version, status, _ = head.words
+        if not version.startswith("HTTP/1.") or not (status.isascii() and status.isdigit()):
+            raise HttpSyntaxError(f"status line {head.words!r}")
+        self._status = int(status)
+        if self._status in INFORMATIONAL:
+            return
+        self._head = head
+        length = 0 if self._status in WITHOUT_BODY else head.content_length
+        self._body = BodyReader(length, head.is_chunked and self._status not in WITHOUT_BODY)
+
+    def _end_response(self, is_closed: bool) -> HttpResponse:
+        assert self._head is not None and self._body is not None
+        is_delimited = self._head.is_chunked or self._head.content_length is not None
+        is_delimited = is_delimited or self._status in WITHOUT_BODY
+        self.is_reusable = is_delimited and not (is_closed or self._head.closes or self._buffer)
+        return HttpResponse(self._status, self._body.body)
--- a/sloepond/runtime/forwarding/http_server.py
+++ b/sloepond/runtime/forwarding/http_server.py
@@ -5,15 +5,19 @@
 import socket
 from collections.abc import Callable
 
-import h11
 import msgspec
-import trio
 
-from sloepond.runtime.forwarding.accepting import serve_connections
+from sloepond.core.forwarding.counters import ForwardingCounters
+from sloepond.runtime.forwarding.event_loop import EventLoop, readable
+from sloepond.runtime.forwarding.http_message import BodyReader, HttpHead, HttpSyntaxError, take_head
+from sloepond.runtime.forwarding.streams import Acceptor, send_all
 
 READ_BYTES = 8_192
 IDLE_S = 30.0
+"""How long a connection may rest between two requests."""
 MAXIMUM_CONNECTIONS = 64
+REASONS = {200: "OK", 503: "Service Unavailable"}
+"""Texts of the statuses that are answered."""
 
 
 class Page(msgspec.Struct, frozen=True):
@@ -28,48 +32,54 @@
 """Returns the page of a request's target."""
 
 
-async def serve_pages(listener: socket.socket, source: PageSource) -> None:
-    """Answer GET requests on a listening socket until cancelled."""
+class PageServer:
+    """Answers GET requests on a listening socket."""
 
-    async def serve(stream: trio.socket.SocketType) -> None:
-        try:
-            await _answer_requests(stream, source)
-        except (OSError, h11.ProtocolError):
-            return
+    def __init__(
+        self, loop: EventLoop, listener: socket.socket, source: PageSource, counters: ForwardingCounters
+    ) -> None:
+        self._loop = loop
+        self._source = source
+        Acceptor(loop, listener, self._serve, MAXIMUM_CONNECTIONS, counters)
 
-    await serve_connections(listener, serve, MAXIMUM_CONNECTIONS)
-
-
-async def _answer_requests(stream: trio.socket.SocketType, source: PageSource) -> None:
-    protocol = h11.Connection(h11.SERVER)
-    while True:
-        request = await _next_request(stream, protocol)
-        if request is None:
-            return
-        page = source(request.target.decode("ascii", "replace"))
-        headers = [("Content-Type", page.content_type), ("Content-Length", str(len(page.body)))]
-        data = protocol.send(h11.Response(status_code=page.status, headers=headers)) or b""
-        data += protocol.send(h11.Data(data=page.body)) or b""
-        data += protocol.send(h11.EndOfMessage()) or b""
-        while data:
-            data = data[await stream.send(data) :]
-        if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
-            return
-        protocol.start_next_cycle()
-
-
-async def _next_request(stream: trio.socket.SocketType, protocol: h11.Connection) -> h11.Request | None:
-    """Return the next whole request, None where the other end closes or rests."""
-    request: h11.Request | None = None
-    with trio.move_on_after(IDLE_S):
+    async def _serve(self, stream: socket.socket) -> None:
+        buffer = bytearray()
         while True:
-            event = protocol.next_event()
-            if event is h11.NEED_DATA:
-                protocol.receive_data(await stream.recv(READ_BYTES))
-            elif isinstance(event, h11.Request):
-                request = event
-            elif isinstance(event, h11.EndOfMessage):
-                return request
-            elif isinstance(event, h11.ConnectionClosed):
-                return None
-    return None
+            deadline = self._loop.clock() + IDLE_S
+            try:
+                request = await _next_request(stream, buffer, deadline)
+            except HttpSyntaxError:
+                return
+            if request is None:
+                return
+            await send_all(stream, _encode(self._source(request.words[1])), deadline)
+            if request.closes:
+                return
+
+
+async def _next_request(stream: socket.socket, buffer: bytearray, deadline: float) -> HttpHead | None:
+    """Return the next whole request, None where the other end closes."""
+    head: HttpHead | None = None
+    body: BodyReader | None = None
+    while True:
+        if head is None:
+            head = take_head(buffer)
+            if head is not None:
+                body = BodyReader(head.content_length or 0, head.is_chunked)
+        if head is not None and body is not None:
+            body.take(buffer)
+            if body.is_whole:
+                return head
+        await readable(stream, deadline)
+        data = stream.recv(READ_BYTES)
+        if not data:
+            return None
+        buffer += data
+
+
+def _encode(page: Page) -> bytes:
+    head = (
+        f"HTTP/1.1 {page.status} {REASONS.get(page.status, '')}\r\n"
+        f"Content-Type: {page.content_type}\r\nContent-Length: {len(page.body)}\r\n\r\n"
+    )
+    return head.encode("ascii") + page.body
--- a/sloepond/runtime/forwarding/peer_channel.py
+++ b/sloepond/runtime/forwarding/peer_channel.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 
 import msgspec
-import trio
 
-from sloepond.core.forwarding.commands import FetchKnowledge, FetchRoutes, SendToPeer
+from sloepond.core.forwarding.backend_records import Endpoint
+from sloepond.core.forwarding.commands import FetchKnowledge, FetchRoutes, LogKind, SendToPeer, WriteLog
 from sloepond.core.forwarding.events import Event, KnowledgeReceived, PeerMessageReceived, RoutesTold
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.core.forwarding.peer_messages import (
@@ -19,17 +19,19 @@
     StreamQuestion,
 )
 from sloepond.core.forwarding.route_delta import RouteDelta
-from sloepond.runtime.clock import monotonic_seconds
-from sloepond.runtime.forwarding.accepting import serve_connections
+from sloepond.runtime.forwarding.event_loop import EventLoop
+from sloepond.runtime.forwarding.log_writer import LogWriter
+from sloepond.runtime.forwarding.streams import Acceptor, connect, read_to_end, send_all
 
 MAXIMUM_DATAGRAM_BYTES = 2_048
 BATCH_DATAGRAMS = 64
+"""Datagrams read after one wait, so that no other work starves."""
 FETCH_TIMEOUT_S = 2.5
+"""How long one exchange on a stream may take."""
 MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024
 MAXIMUM_QUESTION_BYTES = 256
-READ_BYTES = 65_536
 MAXIMUM_STREAMS = 8
-"""Streams of peers served at once."""
+"""Streams of peers served at once; who is turned away asks another peer."""
 
 
 class PeerChannel:
@@ -42,29 +44,26 @@
 
     def __init__(
         self,
+        loop: EventLoop,
         datagrams: socket.socket,
         streams: socket.socket,
         node: ForwardingNode,
         dispatch: Callable[[Event], None],
+        logs: LogWriter,
     ) -> None:
+        self._loop = loop
         self._datagrams = datagrams
-        self._streams = streams
         self._port = datagrams.getsockname()[1]
         self._node = node
         self._dispatch = dispatch
+        self._logs = logs
         self._encoder = msgspec.msgpack.Encoder()
         self._messages = msgspec.msgpack.Decoder(PeerMessage)
         self._knowledge = msgspec.msgpack.Decoder(Knowledge)
         self._deltas = msgspec.msgpack.Decoder(tuple[RouteDelta, ...])
         self._questions = msgspec.msgpack.Decoder(StreamQuestion)
-
-    async def run(self) -> None:
-        """Take what peers send until cancelled."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(serve_connections, self._streams, self._answer, MAXIMUM_STREAMS)
-            while True:
-                await trio.lowlevel.wait_readable(self._datagrams)
-                self._drain()
+        loop.watch(datagrams, self._drain)
+        Acceptor(loop, streams, self._answer, MAXIMUM_STREAMS, node.counters)
 
     def send(self, command: SendToPeer) -> None:
         """Send a datagram; one that cannot be sent is lost."""
@@ -74,13 +73,15 @@
             self._node.counters.sends_failed += 1
 
     async def fetch(self, command: FetchKnowledge | FetchRoutes) -> None:
-        """Ask a peer for something large; nothing happens where it does not answer."""
-        with trio.move_on_after(FETCH_TIMEOUT_S):
-            try:
-                event = await self._fetch(command)
-            except (OSError, msgspec.MsgspecError):
-                return
-            self._dispatch(event)
+        """Ask a peer for something large; where it does not answer another one is asked later."""
+        try:
+            event = await self._fetch(command)
+        except (OSError, msgspec.MsgspecError) as error:
+            self._node.counters.fetches_failed += 1
+            reason = f"asked={type(command).__name__} error={type(error).__name__}"
+            self._logs.write(WriteLog(LogKind.FETCH_FAILED, command.ip, reason))
+            return
+        self._dispatch(event)
 
     async def _fetch(self, command: FetchKnowledge | FetchRoutes) -> KnowledgeReceived | RoutesTold:
         if isinstance(command, FetchRoutes):
@@ -93,7 +94,11 @@
         for _ in range(BATCH_DATAGRAMS):
             try:
                 datagram, source = self._datagrams.recvfrom(MAXIMUM_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
             except OSError:
+                # A peer's port was closed: it will be found silent.
+                self._node.counters.receives_failed += 1
                 return
             try:
                 message = self._messages.decode(datagram)
@@ -103,39 +108,26 @@
             self._dispatch(PeerMessageReceived(source[0], message))
 
     async def _ask(self, ip: str, question: StreamQuestion) -> bytes:
-        with trio.socket.socket() as stream:
-            await stream.connect((ip, self._port))
-            await stream.send(self._encoder.encode(question))
-            stream.shutdown(trio.socket.SHUT_WR)
-            return await _read_to_end(stream, MAXIMUM_ANSWER_BYTES)
-
-    async def _answer(self, stream: trio.socket.SocketType) -> None:
-        with trio.move_on_after(FETCH_TIMEOUT_S):
-            try:
-                question = self._questions.decode(await _read_to_end(stream, MAXIMUM_QUESTION_BYTES))
-                data = self._encode_answer(question)
-                while data:
-                    data = data[await stream.send(data) :]
-            except (OSError, msgspec.MsgspecError):
-                return
+        deadline = self._loop.clock() + FETCH_TIMEOUT_S
+        with await connect(Endpoint(ip, self._port), deadline) as stream:
+            await send_all(stream, self._encoder.encode(question), deadline)
+            stream.shutdown(socket.SHUT_WR)
+            return await read_to_end(stream, MAXIMUM_ANSWER_BYTES, deadline)
+
+    async def _answer(self, stream: socket.socket) -> None:
+        deadline = self._loop.clock() + FETCH_TIMEOUT_S
+        asked = await read_to_end(stream, MAXIMUM_QUESTION_BYTES, deadline)
+        try:
+            question = self._questions.decode(asked)
+        except msgspec.MsgspecError:
+            self._node.counters.peer_messages_malformed += 1
+            return
+        await send_all(stream, self._encode_answer(question), deadline)
 
     def _encode_answer(self, question: StreamQuestion) -> bytes:
         """Return the answer, empty where nothing is known here."""
         if isinstance(question, RoutesAsked):
             deltas = self._node.routes_since(question.version)
             return self._encoder.encode(deltas) if deltas else b""
-        knowledge = self._node.peer_knowledge(monotonic_seconds())
+        knowledge = self._node.peer_knowledge(self._loop.clock())
         return self._encoder.encode(knowledge) if knowledge is not None else b""
-
-
-async def _read_to_end(stream: trio.socket.SocketType, most: int) -> bytes:
-    """Return all that the other end sends, at most so many bytes and one read more."""
-    parts: list[bytes] = []
-    size = 0
-    while size < most:
-        part = await stream.recv(READ_BYTES)
-        if not part:
-            break
-        parts.append(part)
-        size += len(part)
-    return b"".join(parts)
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -1,10 +1,9 @@
-"""The forwarding balancer as a process: tasks around one forwarding node."""
+"""The forwarding balancer as a process: one event loop around one forwarding node."""
 
 from __future__ import annotations
 
 import signal
-
-import trio
+import socket
 
 from sloepond.core.forwarding.commands import (
     CheckBackend,
@@ -22,6 +21,7 @@
 )
 from sloepond.core.forwarding.events import (
     BackendChecked,
+    CheckResult,
     Event,
     PeersJoined,
     StopRequested,
@@ -29,112 +29,111 @@
     TimerFired,
 )
 from sloepond.core.forwarding.node import ForwardingNode
-from sloepond.runtime.clock import monotonic_seconds
 from sloepond.runtime.forwarding.data_path import DataPath
 from sloepond.runtime.forwarding.drivers import BoundSockets
-from sloepond.runtime.forwarding.early import EarlyResult
-from sloepond.runtime.forwarding.early_read import EarlyRead
-from sloepond.runtime.forwarding.http_server import Page, serve_pages
+from sloepond.runtime.forwarding.event_loop import EventLoop, sleep_until
+from sloepond.runtime.forwarding.http_server import Page, PageServer
 from sloepond.runtime.forwarding.log_writer import LogWriter
 from sloepond.runtime.forwarding.metrics import metrics_page
 from sloepond.runtime.forwarding.peer_channel import PeerChannel
-from sloepond.runtime.forwarding.reachability_check import check_reachable
+from sloepond.runtime.forwarding.reachability_check import ReachabilityCheck
 from sloepond.runtime.forwarding.reloading import CHECK_INTERVAL_S, SettingsReloader
-from sloepond.runtime.forwarding.store_client import StoreClient, finish_read
+from sloepond.runtime.forwarding.store_client import StoreClient
 
-LONGEST_SLEEP_S = 60.0
 LONGEST_WAIT_S = 1.0
 """How long packets wait for a process that has just started to know where they go."""
+SIGNAL_BYTES = 64
+"""Signal numbers read at once from the wake-up socket."""
 
 
 class ForwardingService:
-    """Runs one node on sockets."""
+    """Runs one node on sockets.
+
+    :param signals: readable socket that receives the number of each signal as a byte.
+    """
 
     def __init__(
         self,
+        loop: EventLoop,
         sockets: BoundSockets,
+        signals: socket.socket,
         data_path: DataPath,
         store: StoreClient,
         node: ForwardingNode,
         logs: LogWriter,
         reloader: SettingsReloader,
     ) -> None:
+        self._loop = loop
         self._sockets = sockets
+        self._signals = signals
         self._store = store
         self._node = node
         self._logs = logs
         self._reloader = reloader
         self._data_path = data_path
         self._data_path.report = self.dispatch
-        self._peers = PeerChannel(sockets.peer, sockets.knowledge, node, self.dispatch)
+        self._peers = PeerChannel(loop, sockets.peer, sockets.knowledge, node, self.dispatch, logs)
         self._was_ready = False
-        self._can_forward = trio.Event()
-        self._deadline_changed = trio.Event()
-        self._nursery: trio.Nursery | None = None
-
-    async def run(self, begun: EarlyResult) -> None:
-        """Run until a planned stop is complete.
-
-        :param begun: what the start has left to do.
-        """
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            nursery.start_soon(self._forward)
-            nursery.start_soon(self._handle_signals)
-            nursery.start_soon(self._peers.run)
-            self._carry_out(begun.commands)
-            self.dispatch(PeersJoined())
-            for read in begun.reads:
-                nursery.start_soon(self._finish_read, read)
-            if self._node.can_forward:
-                self._can_forward.set()
-            for received in begun.signals:
-                self._take_signal(received)
-            nursery.start_soon(serve_pages, self._sockets.readiness, self._readiness_page)
-            if self._sockets.metrics is not None:
-                nursery.start_soon(serve_pages, self._sockets.metrics, self._metrics_page)
-            nursery.start_soon(self._fire_timers)
-            nursery.start_soon(self._look_at_settings)
+        self._is_forwarding = False
+
+    def run(self) -> None:
+        """Run until a planned stop is complete."""
+        loop, counters = self._loop, self._node.counters
+        loop.watch(self._signals, self._take_signals)
+        PageServer(loop, self._sockets.readiness, self._readiness_page, counters)
+        if self._sockets.metrics is not None:
+            PageServer(loop, self._sockets.metrics, self._metrics_page, counters)
+        loop.start(self._drop_what_waits_too_long())
+        loop.start(self._look_at_settings())
+        self._carry_out(self._node.start(loop.clock()))
+        loop.follow_deadline(self._node.next_deadline, self._fire_timer)
+        self.dispatch(PeersJoined())
+        loop.run()
         self._logs.write(WriteLog(LogKind.STOPPED, "process"))
 
     def dispatch(self, event: Event) -> None:
         """Give the node an event and carry out what it returns."""
-        self._carry_out(self._node.handle(event, monotonic_seconds()))
-        if self._node.can_forward:
-            self._can_forward.set()
+        now = self._loop.clock()
+        self._carry_out(self._node.handle(event, now))
+        if self._node.can_forward and not self._is_forwarding:
+            self._is_forwarding = True
+            self._loop.watch(self._sockets.edge, self._forward)
         if self._node.is_ready and not self._was_ready:
             self._was_ready = True
-            self._logs.write(WriteLog(LogKind.READY, "process", self._node.knowledge(monotonic_seconds())))
-        self._deadline_changed.set()
+            self._logs.write(WriteLog(LogKind.READY, "process", self._node.knowledge(now)))
 
     def _carry_out(self, commands: list[Command]) -> None:
-        assert self._nursery is not None
         for command in commands:
             if isinstance(command, WriteLog):
                 self._logs.write(command)
-            elif isinstance(command, ReadSubject | WatchSubject | ProbeStore):
-                self._nursery.start_soon(self._call_store, command)
-            elif isinstance(command, CheckBackend):
-                self._nursery.start_soon(self._check_backend, command)
             elif isinstance(command, SendToPeer):
                 self._peers.send(command)
-            elif isinstance(command, FetchKnowledge | FetchRoutes):
-                self._nursery.start_soon(self._peers.fetch, command)
             elif isinstance(command, ForwardHeld):
                 for datagram in command.datagrams:
-                    self._data_path.packet(datagram, monotonic_seconds())
+                    self._data_path.packet(datagram, self._loop.clock())
+            elif isinstance(command, ReadSubject | WatchSubject | ProbeStore):
+                self._loop.start(self._call_store(command))
+            elif isinstance(command, CheckBackend):
+                self._check_backend(command)
+            elif isinstance(command, FetchKnowledge | FetchRoutes):
+                self._loop.start(self._peers.fetch(command))
             elif isinstance(command, CompleteStop):
-                self._nursery.cancel_scope.cancel()
+                self._loop.stop()
+
+    def _forward(self) -> None:
+        self._data_path.drain(self._loop.clock())
+
+    def _fire_timer(self) -> None:
+        self.dispatch(TimerFired())
 
     def _store_heard(self) -> None:
         self.dispatch(StoreHeard())
 
-    async def _finish_read(self, read: EarlyRead) -> None:
-        self.dispatch(await finish_read(read, self._store_heard))
+    def _check_backend(self, command: CheckBackend) -> None:
+        def report(result: CheckResult) -> None:
+            self.dispatch(BackendChecked(command.name, result))
 
-    async def _check_backend(self, command: CheckBackend) -> None:
-        result = await check_reachable(command.endpoint, command.control)
-        self.dispatch(BackendChecked(command.name, result))
+        ReachabilityCheck(self._loop, command.endpoint, command.control, report)
 
     async def _call_store(self, command: ReadSubject | WatchSubject | ProbeStore) -> None:
         counters = self._node.counters
@@ -148,40 +147,19 @@
             counters.store_probes += 1
             self.dispatch(await self._store.probe())
 
-    async def _forward(self) -> None:
-        """Forward from the moment at which something is known; until then packets wait.
-
-        What has waited too long is dropped: its sender has sent it again by then.
-        """
-        while not self._node.can_forward:
-            with trio.move_on_after(LONGEST_WAIT_S):
-                await self._can_forward.wait()
-                break
-            self._data_path.drop_waiting()
-        while True:
-            await trio.lowlevel.wait_readable(self._sockets.edge)
-            self._data_path.drain(monotonic_seconds())
+    async def _drop_what_waits_too_long(self) -> None:
+        """Drop packets that wait while nothing is known; their senders have sent them again."""
+        while not self._is_forwarding:
+            await sleep_until(self._loop.clock() + LONGEST_WAIT_S)
+            if not self._is_forwarding:
+                self._data_path.drop_waiting()
 
-    async def _fire_timers(self) -> None:
-        while True:
-            self._deadline_changed = trio.Event()
-            wait_s = self._node.next_deadline() - monotonic_seconds()
-            if wait_s <= 0:
-                self.dispatch(TimerFired())
-                continue
-            with trio.move_on_after(min(wait_s, LONGEST_SLEEP_S)):
-                await self._deadline_changed.wait()
-
-    async def _handle_signals(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            async for received in signals:
-                self._take_signal(received)
-
-    def _take_signal(self, received: int) -> None:
-        if received == signal.SIGHUP:
-            self._reload()
-        else:
-            self.dispatch(StopRequested())
+    def _take_signals(self) -> None:
+        for number in self._signals.recv(SIGNAL_BYTES):
+            if number == signal.SIGHUP:
+                self._reload()
+            else:
+                self.dispatch(StopRequested())
 
     def _reload(self) -> None:
         store = self._reloader.current.store
@@ -194,11 +172,11 @@
 
     async def _look_at_settings(self) -> None:
         while True:
-            await trio.sleep(CHECK_INTERVAL_S)
+            await sleep_until(self._loop.clock() + CHECK_INTERVAL_S)
             self._reload()
 
     def _readiness_page(self, target: str) -> Page:
         return Page(200 if self._node.is_ready else 503)
 
     def _metrics_page(self, target: str) -> Page:
-        return metrics_page(self._node, monotonic_seconds())
+        return metrics_page(self._node, self._loop.clock())
--- a/sloepond/runtime/forwarding/store_client.py
+++ b/sloepond/runtime/forwarding/store_client.py
@@ -5,12 +5,11 @@
 import random
 from collections.abc import Callable
 
-import trio
-
+from sloepond.core.forwarding.backend_records import Endpoint
 from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
 from sloepond.core.forwarding.events import StoreCallFailed, StoreEvent, StoreFailure, StoreProbed
 from sloepond.runtime.forwarding.drivers import StoreCodec
-from sloepond.runtime.forwarding.early_read import EarlyRead
+from sloepond.runtime.forwarding.event_loop import EventLoop, sleep_until
 from sloepond.runtime.forwarding.http_client import HttpClient
 from sloepond.runtime.forwarding.http_exchange import HttpFailure, HttpResponse
 from sloepond.runtime.forwarding.store_pages import PAGE_RETRIES, PagedRead, store_failure
@@ -27,14 +26,15 @@
     :param address: `ip:port` of the store.
     """
 
-    def __init__(self, address: str, codec: StoreCodec) -> None:
+    def __init__(self, loop: EventLoop, address: str, codec: StoreCodec) -> None:
+        self._loop = loop
         self._codec = codec
-        self._client = _client(address)
+        self._client = HttpClient(loop, _endpoint(address))
 
     def move(self, address: str) -> None:
         """Call the store at another address from now on."""
         self._client.close()
-        self._client = _client(address)
+        self._client = HttpClient(self._loop, _endpoint(address))
 
     async def read(self, command: ReadSubject, heard: Callable[[], None]) -> StoreEvent:
         """Read everything of a subject.
@@ -44,7 +44,8 @@
         paged = PagedRead(command, self._codec, PAGE_RETRIES)
         event: StoreEvent | None = None
         while event is None:
-            await trio.sleep(paged.wait_s * (0.5 + random.random()))
+            if paged.wait_s:
+                await sleep_until(self._loop.clock() + paged.wait_s * (0.5 + random.random()))
             answer = await self._client.get(paged.target, SILENCE_S)
             event = paged.answered(answer)
             if event is None and isinstance(answer, HttpResponse):
@@ -65,25 +66,6 @@
         return self._codec.decode_watch(command, answer.body)
 
 
-async def finish_read(read: EarlyRead, heard: Callable[[], None]) -> StoreEvent:
-    """Finish a read that was begun before trio was loaded.
-
-    :param heard: called after each part of the answer but the last.
-    """
-    with read.socket:
-        while True:
-            wait = trio.lowlevel.wait_writable if read.is_sending else trio.lowlevel.wait_readable
-            with trio.move_on_after(SILENCE_S) as patience:
-                await wait(read.socket)
-            if patience.cancelled_caught:
-                return StoreCallFailed(read.command.subject, StoreFailure.TIMED_OUT, False)
-            event = read.progress()
-            if event is not None:
-                return event
-            if not read.is_sending:
-                heard()
-
-
-def _client(address: str) -> HttpClient:
+def _endpoint(address: str) -> Endpoint:
     host, _, port = address.rpartition(":")
-    return HttpClient(host, int(port))
+    return Endpoint(host, int(port))
--- /dev/null
+++ b/sloepond/runtime/forwarding/streams.py
@@ -0,0 +1,121 @@
+"""TCP connections on the event loop: made, accepted, read and written with deadlines."""
+
+from __future__ import annotations
+
+import errno
+import os
+import socket
+from collections.abc import Callable, Coroutine
+
+from sloepond.core.forwarding.backend_records import Endpoint
+from sloepond.core.forwarding.counters import ForwardingCounters
+from sloepond.runtime.forwarding.event_loop import EventLoop, Wait, readable, writable
+
+READ_BYTES = 65_536
+ACCEPTS_A_STEP = 8
+"""Connections accepted at once, so that a flood of them holds up no packets."""
+
+StreamHandler = Callable[[socket.socket], Coroutine[Wait, None, None]]
+"""Serves one connection, which is closed afterwards; OSError ends it."""
+
+
+async def connect(server: Endpoint, deadline: float) -> socket.socket:
+    """Return a connection to a server.
+
+    :raises OSError: where it refuses or cannot be reached, `TimeoutError` after the deadline.
+    """
+    stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        stream.setblocking(False)
+        begun = stream.connect_ex(server)
+        if begun not in (0, errno.EINPROGRESS):
+            raise OSError(begun, os.strerror(begun))
+        await writable(stream, deadline)
+        failed = stream.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if failed:
+            raise OSError(failed, os.strerror(failed))
+    except BaseException:
+        stream.close()
+        raise
+    return stream
+
+
+async def send_all(stream: socket.socket, data: bytes, deadline: float) -> None:
+    """Send bytes, as fast as the other end takes them.
+
+    :raises OSError: where the connection fails, `TimeoutError` after the deadline.
+    """
+    left = memoryview(data)
+    while left:
+        try:
+            left = left[stream.send(left) :]
+        except BlockingIOError:
+            await writable(stream, deadline)
+
+
+async def read_to_end(stream: socket.socket, most: int, deadline: float) -> bytes:
+    """Return all that the other end sends, at most so many bytes and one read more.
+
+    :raises OSError: where the connection fails, `TimeoutError` after the deadline.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while size < most:
+        await readable(stream, deadline)
+        part = stream.recv(READ_BYTES)
+        if not part:
+            break
+        parts.append(part)
+        size += len(part)
+    return b"".join(parts)
+
+
+class Acceptor:
+    """Serves the connections that come to a listening socket, a bounded number at once.
+
+    :param most: connections served at once; more are closed, their clients try again.
+    """
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        listener: socket.socket,
+        handler: StreamHandler,
+        most: int,
+        counters: ForwardingCounters,
+    ) -> None:
+        self._loop = loop
+        self._listener = listener
+        self._handler = handler
+        self._most = most
+        self._counters = counters
+        self._served = 0
+        loop.watch(listener, self._accept)
+
+    def _accept(self) -> None:
+        for _ in range(ACCEPTS_A_STEP):
+            try:
+                stream, _ = self._listener.accept()
+            except BlockingIOError:
+                return
+            except OSError:
+                # For want of descriptors, or the caller has gone: it stays or comes again.
+                self._counters.accepts_failed += 1
+                return
+            if self._served >= self._most:
+                self._counters.connections_turned_away += 1
+                stream.close()
+                continue
+            stream.setblocking(False)
+            self._served += 1
+            self._loop.start(self._serve(stream))
+
+    async def _serve(self, stream: socket.socket) -> None:
+        try:
+            with stream:
+                await self._handler(stream)
+        except OSError:
+            # The other end has gone or was too slow, which harms nobody here.
+            self._counters.connections_broken += 1
+        finally:
+            self._served -= 1
--- a/sloepond/runtime/garbage_collection.py
+++ b/sloepond/runtime/garbage_collection.py
@@ -16,5 +16,11 @@
     collector; its passes over the open flows would only take time.
     """
     gc.collect()
+    resume_garbage_collection()
+
+
+def resume_garbage_collection() -> None:
+    """Begin to collect in a process that has loaded with the collector switched off."""
     gc.freeze()
     gc.set_threshold(*THRESHOLDS)
+    gc.enable()
