Sockets are bound before msgspec is loaded

Cause: after a loss of all processes what clients send again (0.2, 0.6, 1.4 s after the first try) met closed ports until four fifths of a start were over: the settings' types were msgspec structs.

Change: settings and bound sockets are plain classes in a module that imports sockets only; what comes while the rest is loaded waits in the sockets' buffers.

--- a/features/forwarding/event_loop.feature
+++ b/features/forwarding/event_loop.feature
@@ -20,5 +20,8 @@
     Then the event loop has closed the third one and counted it
     And the event loop serves another one after the first has ended
 
+  Scenario: What the balancer loads before its sockets are bound
+    Then the balancer on the platform loads little more than sockets before it binds them
+
   Scenario: What the balancer loads at its start
     Then the balancer on the platform loads neither trio nor h11 nor what takes as long
--- a/features/steps/forwarding_loop_steps.py
+++ b/features/steps/forwarding_loop_steps.py
@@ -188,11 +188,23 @@
 
 @then("the balancer on the platform loads neither trio nor h11 nor what takes as long")
 def loads_little(context):
+    loaded = modules_after("sloepond.platform.balancer")
+    assert "sloepond.runtime.forwarding.service" in loaded
+    assert not loaded.intersection(HEAVY_MODULES), loaded.intersection(HEAVY_MODULES)
+
+
+@then("the balancer on the platform loads little more than sockets before it binds them")
+def binds_first(context):
+    loaded = modules_after("sloepond.platform.settings, sloepond.platform.binding")
+    heavy = (*HEAVY_MODULES, "msgspec", "typing", "re", "random", "json")
+    assert "socket" in loaded
+    assert not loaded.intersection(heavy), loaded.intersection(heavy)
+
+
+def modules_after(names):
+    """Return the modules that are loaded once those named have been."""
     # The platform's build installs no typing_extensions, which msgspec would load.
-    program = (
-        "import sys; sys.modules['typing_extensions'] = None; "
-        "import sloepond.platform.balancer; print(*sys.modules)"
-    )
+    program = f"import sys; sys.modules['typing_extensions'] = None; import {names}; print(*sys.modules)"
     paths = os.pathsep.join([str(REPOSITORY), *filter(None, sys.path)])
     run = subprocess.run(
         [sys.executable, "-S", "-c", program],
@@ -201,6 +213,4 @@
         text=True,
         check=True,
     )
-    loaded = set(run.stdout.split())
-    assert "sloepond.runtime.forwarding.service" in loaded
-    assert not loaded.intersection(HEAVY_MODULES), loaded.intersection(HEAVY_MODULES)
+    return set(run.stdout.split())
--- a/sloepond/platform/balancer.py
+++ b/sloepond/platform/balancer.py
@@ -11,9 +11,9 @@
 from sloepond.platform.settings import read_settings
 from sloepond.platform.store import PlatformStoreCodec
 from sloepond.runtime.forwarding.data_path import DataPath
-from sloepond.runtime.forwarding.drivers import BoundSockets, ForwardingSettings
 from sloepond.runtime.forwarding.event_loop import EventLoop
 from sloepond.runtime.forwarding.log_writer import LogWriter
+from sloepond.runtime.forwarding.process import BoundSockets, ForwardingSettings
 from sloepond.runtime.forwarding.reloading import SettingsReloader
 from sloepond.runtime.forwarding.service import ForwardingService
 from sloepond.runtime.forwarding.store_client import StoreClient
--- a/sloepond/platform/binding.py
+++ b/sloepond/platform/binding.py
@@ -4,7 +4,7 @@
 
 import socket
 
-from sloepond.runtime.forwarding.drivers import BoundSockets, ForwardingSettings
+from sloepond.runtime.forwarding.process import BoundSockets, ForwardingSettings
 
 RECEIVE_BUFFER_BYTES = 1024 * 1024
 BACKLOG = 64
--- a/sloepond/platform/settings.py
+++ b/sloepond/platform/settings.py
@@ -4,7 +4,7 @@
 
 import os
 
-from sloepond.runtime.forwarding.drivers import ForwardingSettings
+from sloepond.runtime.forwarding.process import ForwardingSettings
 
 FILE_VARIABLE = "SLOEPOND_NODE_FILE"
 DEFAULT_FILE = "/etc/sloepond/node.conf"
--- a/sloepond/runtime/forwarding/drivers.py
+++ b/sloepond/runtime/forwarding/drivers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import abc
-import socket
 
 import msgspec
 
@@ -13,49 +12,6 @@
 from sloepond.core.forwarding.packets import Segment
 
 
-class ForwardingSettings(msgspec.Struct, frozen=True):
-    """What a forwarding balancer needs to know at its start.
-
-    Addresses are `ip:port`.
-
-    :ivar name: name of this machine.
-    :ivar store: address of the platform's store.
-    :ivar metrics: where metrics are served, empty for nowhere.
-    :ivar peer_port: port of this and every other balancer for what they say to each
-        other, 0 for none.
-    :ivar seeds: IP addresses of balancers that may be up.
-    :ivar capacity: share of a core this process may use.
-    """
-
-    name: str
-    zone: str
-    ip: str
-    edge: str
-    readiness: str
-    store: str
-    metrics: str = ""
-    peer_port: int = 0
-    seeds: tuple[str, ...] = ()
-    capacity: float = 1.0
-
-
-class BoundSockets(msgspec.Struct):
-    """Sockets bound before anything else is loaded, so that nothing sent to them is lost.
-
-    :ivar edge: UDP, callers' packets.
-    :ivar readiness: TCP, listening.
-    :ivar peer: UDP, what other balancers say.
-    :ivar knowledge: TCP, listening for balancers that have just started.
-    :ivar metrics: TCP, listening.
-    """
-
-    edge: socket.socket
-    readiness: socket.socket
-    peer: socket.socket
-    knowledge: socket.socket
-    metrics: socket.socket | None = None
-
-
 class PacketCodec(abc.ABC):
     """Format of packets."""
 
--- a/sloepond/runtime/forwarding/reloading.py
+++ b/sloepond/runtime/forwarding/reloading.py
@@ -4,12 +4,10 @@
 
 from collections.abc import Callable
 
-import msgspec
-
 from sloepond.core.forwarding.commands import LogKind, WriteLog
 from sloepond.core.forwarding.events import SettingsChanged
-from sloepond.runtime.forwarding.drivers import ForwardingSettings
 from sloepond.runtime.forwarding.log_writer import LogWriter
+from sloepond.runtime.forwarding.process import ForwardingSettings
 
 CHECK_INTERVAL_S = 5.0
 """Time between looks at the settings when nobody signals."""
@@ -37,7 +35,7 @@
         except (OSError, KeyError, ValueError) as error:
             self._log("unreadable", f"kept=yes error={type(error).__name__}")
             return None
-        if changed == self.current:
+        if not changed.differences(self.current):
             return None
         self._log("taken", f"after_restart={_needs_restart(self.current, changed)}")
         self.current = changed
@@ -49,10 +47,5 @@
 
 def _needs_restart(current: ForwardingSettings, changed: ForwardingSettings) -> str:
     """Return the names of changed fields that are taken at the next start only."""
-    names = [
-        field.name
-        for field in msgspec.structs.fields(current)
-        if field.name not in _TAKEN_WHILE_RUNNING
-        and getattr(current, field.name) != getattr(changed, field.name)
-    ]
+    names = [name for name in changed.differences(current) if name not in _TAKEN_WHILE_RUNNING]
     return ",".join(names) or "nothing"
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -30,12 +30,12 @@
 )
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.runtime.forwarding.data_path import DataPath
-from sloepond.runtime.forwarding.drivers import BoundSockets
 from sloepond.runtime.forwarding.event_loop import EventLoop, sleep_until
 from sloepond.runtime.forwarding.http_server import Page, PageServer
 from sloepond.runtime.forwarding.log_writer import LogWriter
 from sloepond.runtime.forwarding.metrics import metrics_page
 from sloepond.runtime.forwarding.peer_channel import PeerChannel
+from sloepond.runtime.forwarding.process import BoundSockets
 from sloepond.runtime.forwarding.reachability_check import ReachabilityCheck
 from sloepond.runtime.forwarding.reloading import CHECK_INTERVAL_S, SettingsReloader
 from sloepond.runtime.forwarding.store_client import StoreClient
