Sockets are bound by the C modules before enum and socket are loaded

Cause: half of what is left until the sockets are bound loads enum, selectors and the constants of socket; on 0.038 of a core that is 0.3 s in which everything sent is lost.

Change: binding hands on descriptors made with _socket and _signal; sockets are made of them once the rest is loaded.

--- a/features/forwarding/event_loop.feature
+++ b/features/forwarding/event_loop.feature
@@ -21,7 +21,7 @@
     And the event loop serves another one after the first has ended
 
   Scenario: What the balancer loads before its sockets are bound
-    Then the balancer on the platform loads little more than sockets before it binds them
+    Then the balancer on the platform loads next to nothing before it binds its sockets
 
   Scenario: What the balancer loads at its start
     Then the balancer on the platform loads neither trio nor h11 nor what takes as long
--- a/features/steps/forwarding_loop_steps.py
+++ b/features/steps/forwarding_loop_steps.py
@@ -193,11 +193,11 @@
     assert not loaded.intersection(HEAVY_MODULES), loaded.intersection(HEAVY_MODULES)
 
 
-@then("the balancer on the platform loads little more than sockets before it binds them")
+@then("the balancer on the platform loads next to nothing before it binds its sockets")
 def binds_first(context):
     loaded = modules_after("sloepond.platform.settings, sloepond.platform.binding")
-    heavy = (*HEAVY_MODULES, "msgspec", "typing", "re", "random", "json")
-    assert "socket" in loaded
+    heavy = (*HEAVY_MODULES, "msgspec", "typing", "re", "random", "json", "enum", "socket")
+    assert "_socket" in loaded
     assert not loaded.intersection(heavy), loaded.intersection(heavy)
 
 
--- a/sloepond/platform/__main__.py
+++ b/sloepond/platform/__main__.py
@@ -6,10 +6,11 @@
 
 gc.disable()  # Loading makes no garbage; collecting meanwhile takes a tenth of a start.
 
-import signal  # noqa: E402
-import socket  # noqa: E402
+# The modules in C under `signal` and `socket`: those load much, see `binding`.
+import _signal  # noqa: E402
+import _socket  # noqa: E402
 
-_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+_SIGNALS = (_signal.SIGTERM, _signal.SIGINT, _signal.SIGHUP)
 
 
 def main() -> None:
@@ -19,21 +20,20 @@
     from sloepond.platform.settings import read_settings
 
     settings = read_settings()
-    sockets = bind_sockets(settings)
+    descriptors = bind_sockets(settings)
     from sloepond.platform.balancer import run_balancer
 
-    run_balancer(settings, sockets, signals)
+    run_balancer(settings, descriptors, signals)
 
 
-def _receive_signals() -> socket.socket:
-    """Return a socket that becomes readable with the number of each signal received."""
-    receiving, sending = socket.socketpair()
-    receiving.setblocking(False)
+def _receive_signals() -> int:
+    """Return a descriptor that becomes readable with the number of each signal received."""
+    receiving, sending = _socket.socketpair(_socket.AF_UNIX, _socket.SOCK_STREAM)
     sending.setblocking(False)
-    signal.set_wakeup_fd(sending.detach(), warn_on_full_buffer=False)
+    _signal.set_wakeup_fd(sending.detach(), warn_on_full_buffer=False)
     for number in _SIGNALS:
-        signal.signal(number, _leave_to_wakeup)
-    return receiving
+        _signal.signal(number, _leave_to_wakeup)
+    return receiving.detach()
 
 
 def _leave_to_wakeup(number: int, frame: object) -> None:
--- a/sloepond/platform/balancer.py
+++ b/sloepond/platform/balancer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import socket
 
 from sloepond.core.forwarding.commands import LogKind, WriteLog
 from sloepond.core.forwarding.node import ForwardingNode
@@ -13,18 +12,19 @@
 from sloepond.runtime.forwarding.data_path import DataPath
 from sloepond.runtime.forwarding.event_loop import EventLoop
 from sloepond.runtime.forwarding.log_writer import LogWriter
-from sloepond.runtime.forwarding.process import BoundSockets, ForwardingSettings
+from sloepond.runtime.forwarding.process import BoundDescriptors, BoundSockets, ForwardingSettings
 from sloepond.runtime.forwarding.reloading import SettingsReloader
 from sloepond.runtime.forwarding.service import ForwardingService
 from sloepond.runtime.forwarding.store_client import StoreClient
 from sloepond.runtime.garbage_collection import resume_garbage_collection
 
 
-def run_balancer(settings: ForwardingSettings, sockets: BoundSockets, signals: socket.socket) -> None:
+def run_balancer(settings: ForwardingSettings, descriptors: BoundDescriptors, signals: int) -> None:
     """Run until SIGTERM has stopped it.
 
-    :param signals: readable socket that receives the number of each signal as a byte.
+    :param signals: descriptor that receives the number of each signal as a byte.
     """
+    sockets = BoundSockets(descriptors, signals)
     node = ForwardingNode(
         settings.zone, random.Random(), settings.ip, settings.seeds, capacity=settings.capacity
     )
@@ -34,6 +34,6 @@
     data_path = DataPath(sockets.edge, EchoPacketCodec(int(settings.edge.rpartition(":")[2])), node, logs)
     store = StoreClient(loop, settings.store, PlatformStoreCodec())
     reloader = SettingsReloader(read_settings, settings, logs)
-    service = ForwardingService(loop, sockets, signals, data_path, store, node, logs, reloader)
+    service = ForwardingService(loop, sockets, data_path, store, node, logs, reloader)
     resume_garbage_collection()
     service.run()
--- a/sloepond/platform/binding.py
+++ b/sloepond/platform/binding.py
@@ -1,22 +1,29 @@
-"""Sockets of a balancer on the platform, bound before the slow imports."""
+"""Sockets of a balancer on the platform, bound before anything else is loaded.
+
+What callers send to a port that is not bound is lost.  `socket` loads enumerations and
+selectors, which doubles the time to here, so this module uses the C module under it and
+hands on descriptors; `sloepond.runtime.forwarding.process` makes sockets of them.
+"""
 
 from __future__ import annotations
 
-import socket
+import _socket
 
-from sloepond.runtime.forwarding.process import BoundSockets, ForwardingSettings
+from sloepond.runtime.forwarding.process import BoundDescriptors, ForwardingSettings
 
 RECEIVE_BUFFER_BYTES = 1024 * 1024
+"""Room for what comes while the rest is loaded, some hundreds of packets."""
 BACKLOG = 64
+"""Connections that wait to be accepted."""
 
 
-def bind_sockets(settings: ForwardingSettings) -> BoundSockets:
+def bind_sockets(settings: ForwardingSettings) -> BoundDescriptors:
     """Bind all sockets of a balancer.
 
     :raises OSError: where an address cannot be bound.
     """
     peer = f"{settings.ip}:{settings.peer_port}"
-    return BoundSockets(
+    return BoundDescriptors(
         edge=_bind(settings.edge),
         readiness=_listen(settings.readiness),
         peer=_bind(peer),
@@ -25,15 +32,15 @@
     )
 
 
-def _bind(address: str) -> socket.socket:
-    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+def _bind(address: str) -> int:
+    bound = _socket.socket(_socket.AF_INET, _socket.SOCK_DGRAM)
     bound.setblocking(False)
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    bound.setsockopt(_socket.SOL_SOCKET, _socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     bound.bind(_endpoint(address))
-    return bound
+    return bound.detach()
 
 
-def _listen_if_possible(address: str) -> socket.socket | None:
+def _listen_if_possible(address: str) -> int | None:
     """Listen where nothing else does: a balancer without metrics still forwards."""
     try:
         return _listen(address) if address else None
@@ -41,13 +48,13 @@
         return None
 
 
-def _listen(address: str) -> socket.socket:
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+def _listen(address: str) -> int:
+    listener = _socket.socket(_socket.AF_INET, _socket.SOCK_STREAM)
+    listener.setsockopt(_socket.SOL_SOCKET, _socket.SO_REUSEADDR, 1)
     listener.setblocking(False)
     listener.bind(_endpoint(address))
     listener.listen(BACKLOG)
-    return listener
+    return listener.detach()
 
 
 def _endpoint(address: str) -> tuple[str, int]:
--- a/sloepond/runtime/forwarding/process.py
+++ b/sloepond/runtime/forwarding/process.py
@@ -1,11 +1,14 @@
 """What a balancer's process begins with: its settings and its bound sockets.
 
-Both are needed before anything slow is loaded, so this module imports next to nothing.
+Both are needed before anything slow is loaded, so this module imports nothing at first;
+even `typing` would take a tenth of the time until the sockets are bound.
 """
 
 from __future__ import annotations
 
-import socket
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    import socket
 
 
 class ForwardingSettings:
@@ -56,8 +59,8 @@
         return tuple(name for name in self.__slots__ if getattr(self, name) != getattr(other, name))
 
 
-class BoundSockets:
-    """Sockets bound before anything else is loaded, so that nothing sent to them is lost.
+class BoundDescriptors:
+    """Descriptors of non-blocking sockets, bound so that nothing sent to them is lost.
 
     :ivar edge: UDP, callers' packets.
     :ivar readiness: TCP, listening.
@@ -69,16 +72,36 @@
     __slots__ = ("edge", "readiness", "peer", "knowledge", "metrics")
 
     def __init__(
-        self,
-        *,
-        edge: socket.socket,
-        readiness: socket.socket,
-        peer: socket.socket,
-        knowledge: socket.socket,
-        metrics: socket.socket | None = None,
+        self, *, edge: int, readiness: int, peer: int, knowledge: int, metrics: int | None = None
     ) -> None:
         self.edge = edge
         self.readiness = readiness
         self.peer = peer
         self.knowledge = knowledge
         self.metrics = metrics
+
+
+class BoundSockets:
+    """The sockets of descriptors; see there for what each of them is for.
+
+    :ivar signals: readable, receives the number of each signal as a byte.
+    """
+
+    __slots__ = ("edge", "readiness", "peer", "knowledge", "metrics", "signals")
+
+    def __init__(self, descriptors: BoundDescriptors, signals: int) -> None:
+        import socket
+
+        def adopt(descriptor: int, kind: socket.SocketKind, family: int = socket.AF_INET) -> socket.socket:
+            adopted = socket.socket(family, kind, fileno=descriptor)
+            adopted.setblocking(False)
+            return adopted
+
+        self.edge = adopt(descriptors.edge, socket.SOCK_DGRAM)
+        self.peer = adopt(descriptors.peer, socket.SOCK_DGRAM)
+        self.readiness = adopt(descriptors.readiness, socket.SOCK_STREAM)
+        self.knowledge = adopt(descriptors.knowledge, socket.SOCK_STREAM)
+        self.metrics: socket.socket | None = None
+        if descriptors.metrics is not None:
+            self.metrics = adopt(descriptors.metrics, socket.SOCK_STREAM)
+        self.signals = adopt(signals, socket.SOCK_STREAM, socket.AF_UNIX)
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import signal
-import socket
 
 from sloepond.core.forwarding.commands import (
     CheckBackend,
@@ -47,16 +46,12 @@
 
 
 class ForwardingService:
-    """Runs one node on sockets.
-
-    :param signals: readable socket that receives the number of each signal as a byte.
-    """
+    """Runs one node on sockets."""
 
     def __init__(
         self,
         loop: EventLoop,
         sockets: BoundSockets,
-        signals: socket.socket,
         data_path: DataPath,
         store: StoreClient,
         node: ForwardingNode,
@@ -65,7 +60,6 @@
     ) -> None:
         self._loop = loop
         self._sockets = sockets
-        self._signals = signals
         self._store = store
         self._node = node
         self._logs = logs
@@ -79,7 +73,7 @@
     def run(self) -> None:
         """Run until a planned stop is complete."""
         loop, counters = self._loop, self._node.counters
-        loop.watch(self._signals, self._take_signals)
+        loop.watch(self._sockets.signals, self._take_signals)
         PageServer(loop, self._sockets.readiness, self._readiness_page, counters)
         if self._sockets.metrics is not None:
             PageServer(loop, self._sockets.metrics, self._metrics_page, counters)
@@ -155,7 +149,7 @@
                 self._data_path.drop_waiting()
 
     def _take_signals(self) -> None:
-        for number in self._signals.recv(SIGNAL_BYTES):
+        for number in self._sockets.signals.recv(SIGNAL_BYTES):
             if number == signal.SIGHUP:
                 self._reload()
             else:
