What peers tell of single back ends does not count as the list

They made it forward: what had waited in its buffer met 'unknown_token' and was dropped after 0.15 s. They also kept the first list from being where changes are known from, so it would have answered peers with gaps.

Change: a directory knows whether a whole list was taken, from the store or from a peer; only then packets are forwarded. Two scenarios, both failing before.

--- a/features/forwarding/store.feature
+++ b/features/forwarding/store.feature
@@ -46,3 +46,14 @@
     Given a fresh forwarding node whose store is silent, beside a peer in its zone
     When forwarding hears a part of an answer of the store each tenth of a second for 3.0 seconds
     Then forwarding has asked a peer meanwhile
+
+  Scenario: What peers tell of single back ends does not count as the list of them
+    Given a fresh forwarding node whose store is silent
+    When forwarding hears of 3 changed back ends before it has read the list
+    Then forwarding forwards nothing yet, and knows all changes since the list once it is read
+
+  Scenario: A list that a peer tells after single changes is where changes go on from
+    Given a fresh forwarding node whose store is silent
+    When forwarding hears of 3 changed back ends before it has read the list
+    And forwarding is told the list and the routes by a peer
+    Then forwarding is ready and knows all changes since the list
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -41,7 +41,9 @@
 )
 from sloepond.core.forwarding.follower import CONFIRM_AFTER_S, Follower
 from sloepond.core.forwarding.peer_messages import (
+    Changes,
     ChangesAsked,
+    Confirmation,
     Heartbeat,
     Knowledge,
     KnownBackend,
@@ -284,3 +286,39 @@
 @then("forwarding has asked a peer meanwhile")
 def asked_meanwhile(context):
     assert context.harness.all(FetchKnowledge) != []
+
+
+@when("forwarding hears of 3 changed back ends before it has read the list")
+def changes_before_list(context):
+    told = tuple(KnownBackend(record(number, revision=20 + number), 0.0) for number in (1, 2, 3))
+    changes = Changes(7, None, 19, 23, 23, told)
+    confirmation = Confirmation(11, 1.0, 1, False, 0.0, changes)
+    context.harness.handle(PeerMessageReceived("10.1.0.3", confirmation))
+    assert not context.harness.node.can_forward
+
+
+@then("forwarding forwards nothing yet, and knows all changes since the list once it is read")
+def knows_since_list(context):
+    harness = context.harness
+    harness.configure(revision=23)
+    assert harness.node.can_forward and harness.node.is_ready
+    check_changes_since(harness, 23)
+
+
+@when("forwarding is told the list and the routes by a peer")
+def told_list(context):
+    known = tuple(KnownBackend(each, 0.0) for each in records())
+    context.harness.handle(KnowledgeReceived("10.1.0.3", Knowledge(ROUTES, 0.0, known, 0.0, 23)))
+
+
+@then("forwarding is ready and knows all changes since the list")
+def ready_since_list(context):
+    assert context.harness.node.is_ready
+    check_changes_since(context.harness, 23)
+
+
+def check_changes_since(harness, revision):
+    """Check that changes are known from a revision on, and that none before is passed off as all."""
+    known = harness.node.backends.changes
+    assert known.since(revision) is not None
+    assert known.since(0) is None
--- a/sloepond/core/forwarding/backends.py
+++ b/sloepond/core/forwarding/backends.py
@@ -23,9 +23,12 @@
 
     :param places: where flows may go; a back end elsewhere is given none.
     :ivar changes: which of them have changed since a revision.
+    :ivar is_listed: whether a whole list was taken; before that, peers may have told of
+        single ones.
     """
 
     def __init__(self, places: PlaceRules = ANYWHERE) -> None:
+        self.is_listed = False
         self._places = places
         self._by_name: dict[str, ForwardingBackend] = {}
         self._by_token: dict[int, ForwardingBackend] = {}
@@ -41,6 +44,17 @@
     def __iter__(self) -> Iterator[ForwardingBackend]:
         return iter(self._by_name.values())
 
+    @property
+    def are_known(self) -> bool:
+        """Whether a whole list is known and there is something in it."""
+        return self.is_listed and len(self._by_name) > 0
+
+    def list_begins(self, revision: int) -> None:
+        """Note that a whole list is taken; the first is where changes are known from."""
+        if not self.is_listed:
+            self.is_listed = True
+            self.changes.begin_at(revision)
+
     def places_changed(self, places: PlaceRules) -> None:
         """Take other rules; they bind new flows at once."""
         self._places = places
--- a/sloepond/core/forwarding/forwarder.py
+++ b/sloepond/core/forwarding/forwarder.py
@@ -77,7 +77,7 @@
 
     def _decide_opening(self, segment: Segment, now: float) -> Decision:
         if not self._routes.version:
-            return _WAITS if len(self._backends) else _NOT_CONFIGURED
+            return _WAITS if self._backends.are_known else _NOT_CONFIGURED
         if not self._stall_guard.may_place:
             return _STALE
         route = self._routes.find(segment.route_key)
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -129,12 +129,12 @@
     @property
     def is_configured(self) -> bool:
         """Whether routes and back ends are known."""
-        return self.routes.version > 0 and len(self.backends) > 0
+        return self.routes.version > 0 and self.backends.are_known
 
     @property
     def can_forward(self) -> bool:
         """Whether packets of open flows can be forwarded; new flows wait for the routes."""
-        return len(self.backends) > 0
+        return self.backends.are_known
 
     @property
     def is_ready(self) -> bool:
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -179,11 +179,11 @@
     def knowledge_received(self, event: KnowledgeReceived, now: float) -> None:
         """Take what a peer knows where nothing newer is known here."""
         knowledge = event.knowledge
-        is_first = not len(self._backends)
+        is_first = not self._backends.is_listed
         is_newer = self._routes.take(knowledge.routes)
         added = sum(self._backends.take(known.record, known.departed_s, now) for known in knowledge.backends)
         if is_first:
-            self._backends.changes.begin_at(knowledge.revision)
+            self._backends.list_begins(knowledge.revision)
             self._followers[Subject.BACKENDS].informed(knowledge.revision, now)
             self._followers[Subject.ROUTES].informed(0, now)
         self._counters.knowledge_taken += 1
@@ -227,7 +227,7 @@
 
     def _ask_for_knowledge(self, now: float) -> None:
         self._ask_at = NEVER
-        if self._routes.version and len(self._backends):
+        if self._routes.version and self._backends.are_known:
             return
         self._ask_at = now + ASK_PEERS_INTERVAL_S
         sources = self._peers.choose_source(now, now >= self._ask_anywhere_at)
--- a/sloepond/core/forwarding/store_answers.py
+++ b/sloepond/core/forwarding/store_answers.py
@@ -87,10 +87,8 @@
         self._log(LogKind.ROUTES_IN_FORCE, str(configuration.version), f"routes={len(configuration.routes)}")
 
     def _take_list(self, event: BackendsRead, revision: int) -> None:
-        is_first = not len(self._backends)
         changed = self._backends.listed(event.records, revision, self._now)
-        if is_first:
-            self._backends.changes.begin_at(revision)
+        self._backends.list_begins(revision)
         self._counters.backend_changes += changed
         if changed:
             self._dissemination.news_taken(self._now)
