--- a/features/forwarding/store.feature
+++ b/features/forwarding/store.feature
@@ -57,3 +57,6 @@
     When forwarding hears of 3 changed back ends before it has read the list
     And forwarding is told the list and the routes by a peer
     Then forwarding is ready and knows all changes since the list
+
+  Scenario: A store that refuses is asked by probes until it serves again
+    Then forwarding property: while calls are refused few are reads, and once they are served all is read soon
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -10,6 +10,7 @@
     STREAM,
     SUBJECTS,
     Harness,
+    fresh_node,
     hear_readers,
     record,
     records,
@@ -23,6 +24,7 @@
 from sloepond.core.forwarding.backend_records import BackendState
 from sloepond.core.forwarding.commands import (
     FetchKnowledge,
+    ProbeStore,
     ReadSubject,
     SendToPeer,
     WatchSubject,
@@ -36,6 +38,7 @@
     StoreCallFailed,
     StoreFailure,
     StoreHeard,
+    StoreProbed,
     Subject,
     TimerFired,
 )
@@ -322,3 +325,77 @@
     known = harness.node.backends.changes
     assert known.since(revision) is not None
     assert known.since(0) is None
+
+
+REFUSALS = st.sampled_from((StoreFailure.REFUSED, StoreFailure.UNREACHABLE, StoreFailure.THROTTLED))
+REFUSED_S = 10.0
+ANSWER_S = 0.004
+READS_EACH = 2
+"""Reads of each subject that a refusing store may see: the first one, and one that was under way."""
+
+
+class RefusingStore:
+    """Answers what a node asks; refuses everything until it is told to serve.
+
+    :ivar reads: reads and watches refused.
+    :ivar probes: probes refused.
+    """
+
+    def __init__(self, harness, failure):
+        self.harness = harness
+        self.failure = failure
+        self.reads = self.probes = 0
+
+    def refuse_until(self, end):
+        """Refuse every call up to a moment."""
+        while self.harness.now < end:
+            for call in self.calls():
+                if isinstance(call, ProbeStore):
+                    self.probes += 1
+                    self.harness.handle(StoreProbed(self.failure))
+                else:
+                    self.reads += 1
+                    was_watch = isinstance(call, WatchSubject)
+                    self.harness.handle(StoreCallFailed(call.subject, self.failure, was_watch))
+            self.step()
+
+    def serve_until(self, end):
+        """Answer every read and probe up to a moment."""
+        while self.harness.now < end:
+            for call in self.calls():
+                if isinstance(call, ProbeStore):
+                    self.harness.handle(StoreProbed(None))
+                elif isinstance(call, ReadSubject):
+                    is_routes = call.subject is Subject.ROUTES
+                    self.harness.handle(RoutesRead(30, ROUTES) if is_routes else BackendsRead(30, records()))
+            self.step()
+
+    def calls(self):
+        """Return the calls asked for since the last look."""
+        return self.harness.all(ProbeStore | ReadSubject | WatchSubject)
+
+    def step(self):
+        """Let the time of an answer pass."""
+        self.harness.run_to(self.harness.now + ANSWER_S, TimerFired())
+
+
+@then("forwarding property: while calls are refused few are reads, and once they are served all is read soon")
+def probes_a_refusing_store(context):
+    @settings(derandomize=True, deadline=None, database=None, max_examples=20)
+    @for_all(REFUSALS, st.booleans(), st.integers(0, 99))
+    def check(failure, is_reader, seed):
+        harness = Harness(fresh_node(seed))
+        if is_reader:
+            harness.become_reader()
+        store = RefusingStore(harness, failure)
+        begun = harness.now
+        harness.handle(StoreProbed(failure))
+        store.refuse_until(begun + REFUSED_S)
+        elections = harness.node.counters.role_changes
+        assert store.reads <= 2 * READS_EACH + 2 * elections, (store.reads, store.probes)
+        assert 10 <= store.probes <= 40, store.probes
+        store.serve_until(harness.now + 1.0)
+        assert harness.node.is_ready
+        assert harness.node.routes_age(harness.now) < 1.0 and harness.node.backends_age(harness.now) < 1.0
+
+    check()
--- a/sloepond/core/forwarding/dissemination.py
+++ b/sloepond/core/forwarding/dissemination.py
@@ -10,7 +10,7 @@
 from sloepond.core.forwarding.catch_up import CatchUp
 from sloepond.core.forwarding.commands import Command, FetchRoutes, LogKind, ProbeStore, SendToPeer, WriteLog
 from sloepond.core.forwarding.counters import ForwardingCounters
-from sloepond.core.forwarding.events import Subject
+from sloepond.core.forwarding.events import StoreCallFailed, StoreFailure, Subject
 from sloepond.core.forwarding.follower import Follower
 from sloepond.core.forwarding.news import News
 from sloepond.core.forwarding.peer_messages import (
@@ -67,7 +67,7 @@
         self._peers = peers
         self._counters = counters
         self._random = random_source
-        self._contact = StoreContact()
+        self._contact = StoreContact(random_source)
         self._commands: list[Command] = []
         self._number = 0
         self._confirm_at = NEVER
@@ -102,7 +102,7 @@
         """Return when `on_time` has something to do."""
         return min(
             self.election.next_deadline(),
-            self._contact.next_deadline(),
+            self._contact.next_deadline(self._wants_store),
             self._confirm_at,
             self._pull_at,
             self._catch_up.next_deadline(),
@@ -111,7 +111,7 @@
     def on_time(self, now: float) -> None:
         """Do what is due."""
         self._review_role(now)
-        if self._contact.on_time(now):
+        if self._contact.on_time(now, self._wants_store):
             self._commands.append(ProbeStore())
         if now >= self._confirm_at:
             self._confirm(now)
@@ -136,17 +136,35 @@
         if self.election.is_reader:
             self._confirm_at = min(self._confirm_at, now + NEWS_DELAY_S)
 
-    def store_failed(self, now: float) -> None:
-        """Note a call to the store that brought nothing."""
+    def store_failed(self, event: StoreCallFailed, now: float) -> None:
+        """Note a read or a watch that brought nothing.
+
+        A watch that is cut short says little: the store may drop all of them and serve on.
+        """
+        if not event.was_watch:
+            self._contact.failed(event.reason, now)
         self.election.store_failed(now)
 
-    def probe_ended(self, is_answered: bool, now: float) -> None:
-        """Take the end of a probe; one that failed means that the watches may hang."""
-        self._contact.probe_ended(now)
-        if is_answered:
+    @property
+    def may_read_store(self) -> bool:
+        """Whether reads and watches may be asked for; a store that refuses is probed first."""
+        return self._contact.may_read
+
+    @property
+    def _wants_store(self) -> bool:
+        return any(follower.next_deadline() < NEVER for follower in self._followers.values())
+
+    def probe_ended(self, failure: StoreFailure | None, now: float) -> None:
+        """Take the end of a probe; one that failed means that the watches may hang.
+
+        :param failure: why there was no answer, None where there was one.
+        """
+        self._contact.probe_ended()
+        if failure is None:
             self.store_answered(now)
             return
-        self.store_failed(now)
+        self._contact.failed(failure, now)
+        self.election.store_failed(now)
         if self.election.is_reader:
             for follower in self._followers.values():
                 follower.distrust(now)
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -217,7 +217,7 @@
         elif isinstance(event, SettingsChanged):
             self._exchange.seeds_changed(event.seeds)
         elif isinstance(event, StoreProbed):
-            self._dissemination.probe_ended(event.failure is None, now)
+            self._dissemination.probe_ended(event.failure, now)
         elif isinstance(event, StoreHeard):
             self._exchange.store_heard(now)
         elif isinstance(event, OpeningHeld):
@@ -270,14 +270,17 @@
             self._dissemination.next_deadline(),
             self._forwarder.admission.next_deadline(self._now),
         )
-        for follower in self._followers.values():
-            deadline = min(deadline, follower.next_deadline())
+        if self._dissemination.may_read_store:
+            reads = [follower.next_deadline() for follower in self._followers.values()]
+            deadline = min(deadline, *reads)
         self._deadline = deadline
         commands = self._commands
         self._commands = []
         return commands
 
     def _ask_store(self) -> None:
+        if not self._dissemination.may_read_store:
+            return
         for follower in self._followers.values():
             self._commands.extend(follower.on_time(self._now))
 
--- a/sloepond/core/forwarding/store_answers.py
+++ b/sloepond/core/forwarding/store_answers.py
@@ -77,7 +77,7 @@
         if not follower.failures:
             self._log(LogKind.STORE_LOST, event.subject.name.lower(), f"reason={event.reason.value}")
         follower.failed(event.reason, event.was_watch, self._now)
-        self._dissemination.store_failed(self._now)
+        self._dissemination.store_failed(event, self._now)
 
     def _take_routes(self, configuration: RouteConfiguration | None) -> None:
         if configuration is None or not self._routes.take(configuration):
