A fresh balancer that the store refuses asks a peer at once

Change: a refused read shortens both waits; a silent store does not. Two scenarios, both failing before.

--- a/features/forwarding/store.feature
+++ b/features/forwarding/store.feature
@@ -26,6 +26,16 @@
     When forwarding is told all a peer knows
     Then forwarding is ready and forwards to back ends that left the list
 
+  Scenario: A fresh balancer that the store refuses asks a peer at once
+    Given a fresh forwarding node beside a peer in its zone
+    When the store refuses the first reads of forwarding
+    Then forwarding asks the peer for all it knows within 0.12 seconds
+
+  Scenario: A fresh balancer that the store refuses does not wait long for a peer in its zone
+    Given a fresh forwarding node beside a peer in another zone
+    When the store refuses the first reads of forwarding
+    Then forwarding asks the peer for all it knows within 0.4 seconds
+
   Scenario: A first list that may be stale is confirmed soon
     Given a fresh forwarding node whose store is silent
     Then forwarding asks for a stale list first and reads it again within three seconds
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -207,6 +207,34 @@
     context.harness.run_to(context.harness.now + 0.4, TimerFired())
 
 
+@given("a fresh forwarding node beside a peer in its zone")
+def beside_near(context):
+    context.harness = Harness(fresh_node(seeds=()))
+    context.harness.handle(PeerMessageReceived("10.1.0.2", Heartbeat(7, 1, False, (), "north")))
+
+
+@given("a fresh forwarding node beside a peer in another zone")
+def beside_far(context):
+    context.harness = Harness(fresh_node(seeds=()))
+    context.harness.handle(PeerMessageReceived("10.1.0.2", Heartbeat(7, 1, False, (), "south")))
+
+
+@when("the store refuses the first reads of forwarding")
+def refuses_first(context):
+    harness = context.harness
+    context.begun = harness.now
+    harness.now += ANSWER_S
+    for subject in SUBJECTS:
+        assert len(harness.reads(subject)) == 1
+        harness.handle(StoreCallFailed(subject, StoreFailure.REFUSED, False))
+
+
+@then("forwarding asks the peer for all it knows within {span:f} seconds")
+def asks_for_all(context, span):
+    context.harness.run_to(context.begun + span, TimerFired())
+    assert [fetch.ip for fetch in context.harness.all(FetchKnowledge)][:1] == ["10.1.0.2"]
+
+
 @when("forwarding is told all a peer knows")
 def told_all(context):
     harness = context.harness
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -33,6 +33,7 @@
     RoutesTold,
     SettingsChanged,
     StopRequested,
+    StoreCallFailed,
     StoreEvent,
     StoreHeard,
     StoreProbed,
@@ -205,8 +206,7 @@
             self._notice_stall(now)
         self._now = now
         if isinstance(event, StoreEvent):
-            self._answers.take(event, now)
-            self._stall_guard.store_answered()
+            self._take_from_store(event)
         elif isinstance(event, TimerFired):
             self._on_time()
         elif isinstance(event, StopRequested):
@@ -227,6 +227,13 @@
         self._ask_store()
         return self._finish()
 
+    def _take_from_store(self, event: StoreEvent) -> None:
+        """Take the answer to a call to the store, or that there was none."""
+        self._answers.take(event, self._now)
+        self._stall_guard.store_answered()
+        if isinstance(event, StoreCallFailed):
+            self._exchange.store_failed(event.reason, self._now)
+
     def _take_from_others(
         self,
         event: PeerMessageReceived
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -16,7 +16,13 @@
 )
 from sloepond.core.forwarding.counters import ForwardingCounters
 from sloepond.core.forwarding.dissemination import Dissemination
-from sloepond.core.forwarding.events import KnowledgeReceived, PeerMessageReceived, Subject, UnknownTokenMet
+from sloepond.core.forwarding.events import (
+    KnowledgeReceived,
+    PeerMessageReceived,
+    StoreFailure,
+    Subject,
+    UnknownTokenMet,
+)
 from sloepond.core.forwarding.follower import Follower
 from sloepond.core.forwarding.peer_messages import (
     BackendUnreachable,
@@ -81,6 +87,8 @@
         self._heartbeat_at = NEVER
         self._expire_at = NEVER
         self._ask_at = NEVER
+        self._ask_anywhere_at = NEVER
+        self._started_at = -NEVER
         self.is_leaving = False
 
     @property
@@ -108,6 +116,13 @@
             latest = self._started_at + STORE_ANSWERS_S
             self._ask_at = max(self._ask_at, min(now + ASK_PEERS_AFTER_S, latest))
 
+    def store_failed(self, reason: StoreFailure, now: float) -> None:
+        """Ask a peer soon where the store refuses; one that is silent may still answer."""
+        if self._ask_at == NEVER or reason is StoreFailure.TIMED_OUT:
+            return
+        self._ask_at = min(self._ask_at, max(now, self._started_at + JOIN_S))
+        self._ask_anywhere_at = min(self._ask_anywhere_at, now + ASK_PEERS_INTERVAL_S)
+
     def take_commands(self) -> list[Command]:
         """Return what is to be done, and forget it."""
         commands = self._commands
