A fresh balancer asks a peer in its zone before it reads the store

Cause: each start reads the routes (one call) and the whole list (a tenth for each page of 50).

Change: module bootstrap. The first reads wait 0.08 s for the answer to the first heartbeats; a peer in the zone that knows something is asked at once, those that others tell of are spoken to, six at most. A busy peer, one that heard of the store long ago, or silence: the store. Whoever is asked by a balancer that knows nothing answers it. Where the store is silent for 0.3 s, peers are spoken to again, not only asked.

--- /dev/null
+++ b/features/steps/forwarding_bootstrap_steps.py
@@ -0,0 +1,168 @@
+"""Steps on how a fresh balancer comes to know anything."""
+
+from __future__ import annotations
+
+import collections
+
+from behave import given, then, when
+from forwarding_fleet import Fleet
+from forwarding_model import ROUTES, SUBJECTS, Harness, fresh_node, records
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from sloepond.core.forwarding.commands import FetchKnowledge, SendToPeer
+from sloepond.core.forwarding.events import FetchFailed, KnowledgeReceived, PeerMessageReceived, TimerFired
+from sloepond.core.forwarding.peer_messages import Heartbeat, Knowledge, KnownBackend
+from sloepond.core.forwarding.readers import Role
+
+REST_S = 8.0
+"""Time after which a fleet has settled: readers are elected, peers know one another."""
+STEP_S = 0.01
+PATIENCE_S = 3.0
+FEW = settings(derandomize=True, deadline=None, database=None, max_examples=12)
+
+
+class WatchedFleet(Fleet):
+    """A fleet that tells who called the store, and how long each restart took."""
+
+    def __init__(self, count, seed=1):
+        self.calls_of = collections.Counter()
+        super().__init__(count, seed)
+        self.run(REST_S)
+        assert not self.behind()
+
+    def call(self, ip, node, command):
+        """Count the call."""
+        self.calls_of[ip] += 1
+        super().call(ip, node, command)
+
+    def restart(self, ips):
+        """Restart balancers at once; return the seconds until each is ready."""
+        for ip in ips:
+            self.kill(ip)
+        for ip in ips:
+            self.start(ip)
+        begun, ready_s = self.now, {}
+        while len(ready_s) < len(ips):
+            self.run(STEP_S)
+            assert self.now - begun < PATIENCE_S, [ip for ip in ips if ip not in ready_s]
+            for ip in ips:
+                if self.nodes[ip].is_ready:
+                    ready_s.setdefault(ip, self.now - begun)
+        return ready_s
+
+    def listeners(self):
+        """Return the addresses of balancers that do not read the store."""
+        return [ip for ip, node in self.nodes.items() if node.role is Role.LISTENER]
+
+
+@given("a simulated fleet of {count:d} balancers at rest")
+def fleet_at_rest(context, count):
+    context.fleet = WatchedFleet(count)
+
+
+@given("the store turns a third of the fleet away")
+def turned_away(context):
+    fleet = context.fleet
+    fleet.storeless = set(fleet.ips[::3])
+    fleet.run(REST_S)
+
+
+@when("{count:d} of its balancers that do not read the store are restarted one after the other")
+def restart_some(context, count):
+    fleet = context.fleet
+    context.ready_s, context.calls = {}, 0
+    for ip in fleet.listeners()[-count:]:
+        fleet.calls_of[ip] = 0
+        context.ready_s.update(fleet.restart([ip]))
+        fleet.run(0.2)
+        context.calls += fleet.calls_of[ip]
+
+
+@when("all of its balancers are restarted at once")
+def restart_all(context):
+    context.ready_s = context.fleet.restart(context.fleet.ips)
+
+
+@when("a third of its balancers, all seeds among them, are restarted at once")
+def restart_third(context):
+    context.ready_s = context.fleet.restart(context.fleet.ips[: len(context.fleet.ips) // 3])
+
+
+@then("each of them was ready within {span:f} seconds without a call to the store")
+def ready_without_calls(context, span):
+    ready_within(context, span)
+    assert context.calls == 0, context.calls
+
+
+@then("each of them was ready within {span:f} seconds")
+def ready_within(context, span):
+    assert max(context.ready_s.values()) <= span + STEP_S, context.ready_s
+
+
+@then("bootstrap property: of fleets of any size, any part may restart and is ready within half a second")
+def any_part(context):
+    @FEW
+    @for_all(st.integers(2, 40), st.floats(0.0, 1.0), st.integers(0, 999))
+    def check(count, share, seed):
+        fleet = WatchedFleet(count, seed)
+        restarted = fleet.random.sample(fleet.ips, max(1, round(share * count)))
+        ready_s = fleet.restart(restarted)
+        assert max(ready_s.values()) <= 0.5, ready_s
+
+    check()
+
+
+@given("a fresh forwarding node that has found a peer in its zone")
+def found_near(context):
+    context.harness = Harness()
+    context.harness.handle(PeerMessageReceived("10.1.0.2", Heartbeat(7, 1, False, (), "north")))
+
+
+@when("that peer tells all it knew of the store {age:d} seconds ago")
+def tells_old(context, age):
+    harness = context.harness
+    assert [fetch.ip for fetch in harness.all(FetchKnowledge)] == ["10.1.0.2"]
+    harness.now += 0.01
+    known = tuple(KnownBackend(each, 0.0) for each in records())
+    harness.handle(KnowledgeReceived("10.1.0.2", Knowledge(ROUTES, float(age), known, float(age), 23)))
+    harness.run_to(harness.now + 0.001, TimerFired())
+
+
+@when("that peer turns forwarding away")
+def turns_away(context):
+    harness = context.harness
+    assert [fetch.ip for fetch in harness.all(FetchKnowledge)] == ["10.1.0.2"]
+    assert all(harness.reads(subject) == [] for subject in SUBJECTS)
+    harness.now += 0.01
+    harness.handle(FetchFailed("10.1.0.2"))
+
+
+@then("forwarding is ready and reads the store at once")
+def ready_and_reads(context):
+    assert context.harness.node.is_ready
+    reads_at_once(context)
+
+
+@then("forwarding reads the store at once")
+def reads_at_once(context):
+    assert all(len(context.harness.reads(subject)) == 1 for subject in SUBJECTS)
+
+
+@then("bootstrap property: a fresh balancer speaks to six peers at most before it reads the store")
+def speaks_to_few(context):
+    addresses = st.integers(2, 60).map(lambda number: f"10.1.0.{number}")
+    answers = st.tuples(addresses, st.lists(addresses, max_size=4), st.sampled_from(("south", "north")))
+
+    @settings(derandomize=True, deadline=None, database=None, max_examples=80)
+    @for_all(st.lists(answers, max_size=30))
+    def check(heard):
+        harness = Harness(fresh_node())
+        for ip, known, zone in heard:
+            harness.handle(PeerMessageReceived(ip, Heartbeat(0, 0, False, tuple(known), zone)))
+        heartbeats = [c for c in harness.all(SendToPeer) if isinstance(c.message, Heartbeat)]
+        answered = {ip for ip, known, _ in heard if len(known) < 4}
+        assert len({command.ip for command in heartbeats} - answered) <= 6
+
+    check()
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -134,6 +134,12 @@
     knowledge: Knowledge
 
 
+class FetchFailed(msgspec.Struct, frozen=True):
+    """A peer that was asked on a stream did not answer, or knows nothing."""
+
+    ip: str
+
+
 class RoutesTold(msgspec.Struct, frozen=True):
     """A peer has told differences that lead to its version of the routes.
 
@@ -188,6 +194,7 @@
     | PeersJoined
     | PeerMessageReceived
     | KnowledgeReceived
+    | FetchFailed
     | RoutesTold
     | OpeningHeld
     | UnknownTokenMet
--- a/sloepond/core/forwarding/follower.py
+++ b/sloepond/core/forwarding/follower.py
@@ -100,6 +100,10 @@
     def _may_watch(self) -> bool:
         return self.is_watcher and self._is_trusted and not self._is_watching
 
+    def hold_until(self, time: float) -> None:
+        """Ask for nothing before a moment, or from now on if it has come."""
+        self._next_call = time
+
     def begin_watching(self, now: float) -> None:
         """Read everything, then watch."""
         self.is_watcher = True
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -26,6 +26,7 @@
     BackendSuspected,
     CheckResult,
     Event,
+    FetchFailed,
     KnowledgeReceived,
     OpeningHeld,
     PeerMessageReceived,
@@ -124,7 +125,6 @@
         self._deadline = NEVER
         self._housekeeping_at = 0.0
         self._stop_at = NEVER
-        self._started_at = 0.0
         self.is_stopping = False
 
     @property
@@ -182,7 +182,7 @@
         self._now = now
         self._housekeeping_at = now + HOUSEKEEPING_S
         self._forwarder.admission.start(now)
-        self._started_at = now
+        self._exchange.bootstrap.begin(now)
         self._ask_store()
         return self._finish()
 
@@ -212,14 +212,14 @@
         elif isinstance(event, StopRequested):
             self._request_stop()
         elif isinstance(event, PeersJoined):
-            self._exchange.start(now, self._started_at)
+            self._exchange.start(now)
             self._dissemination.start(now)
         elif isinstance(event, SettingsChanged):
             self._exchange.seeds_changed(event.seeds)
         elif isinstance(event, StoreProbed):
             self._dissemination.probe_ended(event.failure, now)
         elif isinstance(event, StoreHeard):
-            self._exchange.store_heard(now)
+            self._exchange.bootstrap.store_heard(now)
         elif isinstance(event, OpeningHeld):
             self._forwarder.hold(event.segment, event.datagram, now)
         else:
@@ -232,12 +232,13 @@
         self._answers.take(event, self._now)
         self._stall_guard.store_answered()
         if isinstance(event, StoreCallFailed):
-            self._exchange.store_failed(event.reason, self._now)
+            self._exchange.bootstrap.store_failed(event.reason, self._now)
 
     def _take_from_others(
         self,
         event: PeerMessageReceived
         | KnowledgeReceived
+        | FetchFailed
         | RoutesTold
         | UnknownTokenMet
         | BackendSuspected
@@ -248,6 +249,8 @@
             self._exchange.message_received(event, self._now)
         elif isinstance(event, KnowledgeReceived):
             self._exchange.knowledge_received(event, self._now)
+        elif isinstance(event, FetchFailed):
+            self._exchange.bootstrap.fetch_failed(event.ip, self._now)
         elif isinstance(event, RoutesTold):
             self._dissemination.routes_told(event.ip, event.deltas, self._now)
         elif isinstance(event, UnknownTokenMet):
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -6,9 +6,9 @@
 
 from sloepond.core.deadlines import NEVER
 from sloepond.core.forwarding.backends import BackendDirectory
+from sloepond.core.forwarding.bootstrap import Bootstrap
 from sloepond.core.forwarding.commands import (
     Command,
-    FetchKnowledge,
     ForwardHeld,
     LogKind,
     SendToPeer,
@@ -19,7 +19,6 @@
 from sloepond.core.forwarding.events import (
     KnowledgeReceived,
     PeerMessageReceived,
-    StoreFailure,
     Subject,
     UnknownTokenMet,
 )
@@ -42,21 +41,11 @@
 from sloepond.core.forwarding.route_table import RouteTable
 from sloepond.core.forwarding.token_lookup import HOLD_S, TokenLookup
 
-ASK_PEERS_AFTER_S = 0.3
-"""How long a fresh balancer waits for the store before it asks a peer for all it knows."""
-ASK_ANYWHERE_AFTER_S = 1.2
-"""How long it asks only peers in its own zone: bytes between zones are priced."""
-JOIN_S = 0.1
-"""Time for peers to answer the first heartbeats, and for reads under way to go on."""
-STORE_ANSWERS_S = 2.5
-"""How long a store that is answering keeps it from asking peers."""
-ASK_PEERS_INTERVAL_S = 0.25
-"""Time until it asks another one."""
-
 
 class PeerExchange:
     """Takes what peers say and decides what they are told.
 
+    :ivar bootstrap: what a fresh balancer asks.
     :param followers: what is asked of the store.
     :param dissemination: takes what peers say about changes.
     """
@@ -86,9 +75,7 @@
         self._commands: list[Command] = []
         self._heartbeat_at = NEVER
         self._expire_at = NEVER
-        self._ask_at = NEVER
-        self._ask_anywhere_at = NEVER
-        self._started_at = -NEVER
+        self.bootstrap = Bootstrap(zone, peers, routes, backends, followers)
         self.is_leaving = False
 
     @property
@@ -100,38 +87,19 @@
         """Take other seeds; peers known stay."""
         self._peers.seeds_changed(seeds)
 
-    def start(self, now: float, started_at: float) -> None:
-        """Start heartbeats.
-
-        :param started_at: when this process has begun to ask the store.
-        """
+    def start(self, now: float) -> None:
+        """Start heartbeats."""
         self._heartbeat_at = now
-        self._ask_at = max(now + JOIN_S, started_at + ASK_PEERS_AFTER_S)
-        self._ask_anywhere_at = started_at + ASK_ANYWHERE_AFTER_S
-        self._started_at = started_at
-
-    def store_heard(self, now: float) -> None:
-        """Ask no peer for all it knows while the store is answering, for a while at most."""
-        if self._ask_at < NEVER:
-            latest = self._started_at + STORE_ANSWERS_S
-            self._ask_at = max(self._ask_at, min(now + ASK_PEERS_AFTER_S, latest))
-
-    def store_failed(self, reason: StoreFailure, now: float) -> None:
-        """Ask a peer soon where the store refuses; one that is silent may still answer."""
-        if self._ask_at == NEVER or reason is StoreFailure.TIMED_OUT:
-            return
-        self._ask_at = min(self._ask_at, max(now, self._started_at + JOIN_S))
-        self._ask_anywhere_at = min(self._ask_anywhere_at, now + ASK_PEERS_INTERVAL_S)
+        self.bootstrap.join(now)
 
     def take_commands(self) -> list[Command]:
         """Return what is to be done, and forget it."""
-        commands = self._commands
-        self._commands = []
-        return commands
+        commands, self._commands = self._commands, []
+        return [*commands, *self.bootstrap.take_commands()]
 
     def next_deadline(self) -> float:
         """Return when `on_time` has something to do."""
-        return min(self._heartbeat_at, self._expire_at, self._ask_at)
+        return min(self._heartbeat_at, self._expire_at, self.bootstrap.next_deadline())
 
     def on_time(self, now: float) -> None:
         """Do what is due."""
@@ -140,8 +108,7 @@
         if now >= self._expire_at:
             self._counters.held_packets_dropped += self._lookup.expire(now)
             self._expire_at = NEVER
-        if now >= self._ask_at:
-            self._ask_for_knowledge(now)
+        self._greet(self.bootstrap.on_time(now), now)
 
     def hurry_heartbeat(self, now: float) -> None:
         """Tell peers soon that more is known here than before."""
@@ -152,10 +119,7 @@
         self._counters.peer_messages_received += 1
         message = event.message
         if isinstance(message, Heartbeat):
-            if len(message.known_peers) < SHARED_PEERS and self._peers.is_new(event.ip, now):
-                self._send([event.ip], self._heartbeat(now, message.zone))
-            self._peers.heard(event.ip, message, now)
-            self._dissemination.peer_heard(event.ip, message.routes_version, message.backends_revision, now)
+            self._heartbeat_received(event.ip, message, now)
         elif isinstance(message, TokenAsked):
             self._answer_token(event.ip, message.token, now)
         elif isinstance(message, TokenFound):
@@ -166,6 +130,20 @@
             self._peers.heard_from(event.ip, now)
             self._disseminated(event.ip, message, now)
 
+    def _heartbeat_received(self, ip: str, message: Heartbeat, now: float) -> None:
+        is_lonely = len(message.known_peers) < SHARED_PEERS and self._peers.is_new(ip, now)
+        is_fresh = not message.routes_version and self._routes.version > 0
+        if is_lonely or is_fresh:
+            self._send([ip], self._heartbeat(now, message.zone))
+        self._peers.heard(ip, message, now)
+        self._dissemination.peer_heard(ip, message.routes_version, message.backends_revision, now)
+        self._greet(self.bootstrap.peer_heard(ip, message, now), now)
+
+    def _greet(self, ips: tuple[str, ...], now: float) -> None:
+        """Speak to peers of which some may know more."""
+        if ips:
+            self._send(list(ips), self._heartbeat(now))
+
     def _disseminated(
         self, ip: str, message: Confirmation | ChangesAsked | ChangesTold | ConfirmationsAsked, now: float
     ) -> None:
@@ -201,6 +179,7 @@
             self._backends.list_begins(knowledge.revision)
             self._followers[Subject.BACKENDS].informed(knowledge.revision, now)
             self._followers[Subject.ROUTES].informed(0, now)
+        self.bootstrap.knowledge_taken(knowledge, now)
         self._counters.knowledge_taken += 1
         detail = (
             f"routes={knowledge.routes.version} newer={is_newer} routes_age_s={knowledge.routes_age_s:.2f} "
@@ -240,14 +219,6 @@
         self._counters.peer_messages_sent += len(ips)
         self._commands.extend(SendToPeer(ip, message) for ip in ips)
 
-    def _ask_for_knowledge(self, now: float) -> None:
-        self._ask_at = NEVER
-        if self._routes.version and self._backends.are_known:
-            return
-        self._ask_at = now + ASK_PEERS_INTERVAL_S
-        sources = self._peers.choose_source(now, now >= self._ask_anywhere_at)
-        self._commands.extend(FetchKnowledge(ip) for ip in sources)
-
     def _answer_token(self, ip: str, token: int, now: float) -> None:
         backend = self._backends.by_token(token)
         if backend is not None:
--- a/sloepond/runtime/forwarding/peer_channel.py
+++ b/sloepond/runtime/forwarding/peer_channel.py
@@ -9,7 +9,13 @@
 
 from sloepond.core.forwarding.backend_records import Endpoint
 from sloepond.core.forwarding.commands import FetchKnowledge, FetchRoutes, LogKind, SendToPeer, WriteLog
-from sloepond.core.forwarding.events import Event, KnowledgeReceived, PeerMessageReceived, RoutesTold
+from sloepond.core.forwarding.events import (
+    Event,
+    FetchFailed,
+    KnowledgeReceived,
+    PeerMessageReceived,
+    RoutesTold,
+)
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.core.forwarding.peer_messages import (
     Knowledge,
@@ -80,6 +86,7 @@
             self._node.counters.fetches_failed += 1
             reason = f"asked={type(command).__name__} error={type(error).__name__}"
             self._logs.write(WriteLog(LogKind.FETCH_FAILED, command.ip, reason))
+            self._dispatch(FetchFailed(command.ip))
             return
         self._dispatch(event)
 
