--- a/features/forwarding/event_loop.feature
+++ b/features/forwarding/event_loop.feature
@@ -20,6 +20,10 @@
     Then the event loop has closed the third one and counted it
     And the event loop serves another one after the first has ended
 
+  Scenario: A connection that cannot be accepted does not keep the loop busy
+    When an event loop cannot accept for a second
+    Then the event loop has tried at most 25 times, and accepts again once it can
+
   Scenario: What the balancer loads before its sockets are bound
     Then the balancer on the platform loads next to nothing before it binds its sockets
 
--- a/features/steps/forwarding_loop_steps.py
+++ b/features/steps/forwarding_loop_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import pathlib
 import socket
@@ -186,6 +187,56 @@
     run_until(context, lambda: context.served == 3)
 
 
+class FullListener(SimulatedStream):
+    """A listener with a connection that cannot be accepted until there are descriptors."""
+
+    def __init__(self, free_at, clock):
+        super().__init__()
+        self.free_at = free_at
+        self.clock = clock
+        self.tries = 0
+        self.accepted = 0
+
+    @property
+    def readable_at(self):
+        """A connection waits until it is accepted."""
+        return float("inf") if self.accepted else 0.0
+
+    def accept(self):
+        """Accept a connection that ends at once, or fail for want of descriptors."""
+        if self.accepted:
+            raise BlockingIOError
+        self.tries += 1
+        if self.clock() < self.free_at:
+            raise OSError(errno.EMFILE, "too many open files")
+        self.accepted += 1
+        return socket.socketpair()[0], None
+
+
+@when("an event loop cannot accept for a second")
+def cannot_accept(context):
+    loop = SimulatedLoop()
+    listener = FullListener(loop.clock() + 1.0, loop.clock)
+
+    async def serve(stream):
+        stream.close()
+
+    context.counters = ForwardingCounters()
+    Acceptor(loop, listener, serve, 2, context.counters)
+    for _ in range(200):
+        if listener.accepted:
+            break
+        loop.run_once()
+    context.listener = listener
+
+
+@then("the event loop has tried at most 25 times, and accepts again once it can")
+def tried_few(context):
+    assert context.listener.accepted == 1
+    assert context.listener.tries <= 25
+    assert context.counters.accepts_failed == context.listener.tries - 1
+
+
 @then("the balancer on the platform loads neither trio nor h11 nor what takes as long")
 def loads_little(context):
     loaded = modules_after("sloepond.platform.balancer")
--- a/sloepond/core/forwarding/counters.py
+++ b/sloepond/core/forwarding/counters.py
@@ -48,4 +48,5 @@
     accepts_failed: int = 0
     connections_turned_away: int = 0
     connections_broken: int = 0
+    requests_malformed: int = 0
     log_lines_dropped: int = 0
--- a/sloepond/runtime/forwarding/event_loop.py
+++ b/sloepond/runtime/forwarding/event_loop.py
@@ -116,6 +116,10 @@
         """Call a function each time a socket can be read from or accepted on."""
         self._selector.register(stream, FOR_READING, on_readable)
 
+    def unwatch(self, stream: socket.socket) -> None:
+        """Call the function of a socket no longer."""
+        self._selector.unregister(stream)
+
     def follow_deadline(self, next_deadline: Callable[[], float], on_time: Callable[[], None]) -> None:
         """Call a function whenever a deadline that may move has passed.
 
--- a/sloepond/runtime/forwarding/http_server.py
+++ b/sloepond/runtime/forwarding/http_server.py
@@ -40,6 +40,7 @@
     ) -> None:
         self._loop = loop
         self._source = source
+        self._counters = counters
         Acceptor(loop, listener, self._serve, MAXIMUM_CONNECTIONS, counters)
 
     async def _serve(self, stream: socket.socket) -> None:
@@ -49,6 +50,7 @@
             try:
                 request = await _next_request(stream, buffer, deadline)
             except HttpSyntaxError:
+                self._counters.requests_malformed += 1
                 return
             if request is None:
                 return
--- a/sloepond/runtime/forwarding/streams.py
+++ b/sloepond/runtime/forwarding/streams.py
@@ -9,9 +9,11 @@
 
 from sloepond.core.forwarding.backend_records import Endpoint
 from sloepond.core.forwarding.counters import ForwardingCounters
-from sloepond.runtime.forwarding.event_loop import EventLoop, Wait, readable, writable
+from sloepond.runtime.forwarding.event_loop import EventLoop, Wait, readable, sleep_until, writable
 
 READ_BYTES = 65_536
+ACCEPT_RETRY_S = 0.05
+"""Wait after a connection that could not be accepted, as for want of descriptors."""
 ACCEPTS_A_STEP = 8
 """Connections accepted at once, so that a flood of them holds up no packets."""
 
@@ -99,8 +101,9 @@
             except BlockingIOError:
                 return
             except OSError:
-                # For want of descriptors, or the caller has gone: it stays or comes again.
                 self._counters.accepts_failed += 1
+                self._loop.unwatch(self._listener)
+                self._loop.start(self._watch_again())
                 return
             if self._served >= self._most:
                 self._counters.connections_turned_away += 1
@@ -110,6 +113,11 @@
             self._served += 1
             self._loop.start(self._serve(stream))
 
+    async def _watch_again(self) -> None:
+        """Accept again a little later: what waits would wake the loop without end."""
+        await sleep_until(self._loop.clock() + ACCEPT_RETRY_S)
+        self._loop.watch(self._listener, self._accept)
+
     async def _serve(self, stream: socket.socket) -> None:
         try:
             with stream:
