--- a/benchmarks/day_report.py
+++ b/benchmarks/day_report.py
@@ -34,6 +34,9 @@
     n: int
     worth: float
     p50_ms: float
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
 
 
 class Event(msgspec.Struct):
