Probe: racing commands are started before one of them is held

Traced: the probe held that read while it started the other command. A command gives a read up after 3.0 s (REQUEST_TIMEOUT_S); starting one takes 1.1 to 1.3 s at that load ('sloepond version' three times), reading, writing and ending come on top. Now both are started first and both reads are held, so the time under which one waits is that of a write. The checks are the same.

--- a/sloepond/demo/probes/racing_operators.py
+++ b/sloepond/demo/probes/racing_operators.py
@@ -84,16 +84,25 @@
 
 
 async def _race(fleet: Fleet, late: StartCommand, early: StartCommand) -> Race:
-    """Let `late` read, then `early` read and write, then `late` write."""
+    """Let `late` read, then `early` read and write, then `late` write.
+
+    Both commands are started before: a command gives a read up after three seconds, and
+    starting one takes as long where the machine is busy.
+    """
     before = await fleet.access.configuration(fleet.platform_url)
     async with httpx.AsyncClient(trust_env=False) as http, trio.open_nursery() as nursery:
-        held = HeldReads(http, fleet.platform_url)
-        url = await nursery.start(held.run, fleet.network.address(CLIENT_HOST, ANY_PORT))
-        late_process = await late(url)
+        held_early = HeldReads(http, fleet.platform_url)
+        early_url = await nursery.start(held_early.run, fleet.network.address(CLIENT_HOST, ANY_PORT))
+        held_late = HeldReads(http, fleet.platform_url)
+        late_url = await nursery.start(held_late.run, fleet.network.address(CLIENT_HOST, ANY_PORT))
+        early_process = await early(early_url)
+        late_process = await late(late_url)
         with trio.fail_after(STEP_TIMEOUT_S):
-            await held.wait_read()
-        early_result = await operators.finish(await early(fleet.platform_url))
-        held.release()
+            await held_late.wait_read()
+            await held_early.wait_read()
+        held_early.release()
+        early_result = await operators.finish(early_process)
+        held_late.release()
         late_result = await operators.finish(late_process)
         nursery.cancel_scope.cancel()
     after = await fleet.access.configuration(fleet.platform_url)
