--- a/features/steps/forwarding_client_steps.py
+++ b/features/steps/forwarding_client_steps.py
@@ -34,7 +34,7 @@
         super().__init__(loop, Endpoint("10.0.0.1", 80))
         self.stream = stream
 
-    async def _connect(self, patience):
+    async def _connect(self, deadline):
         return HttpConnection(self.stream, HttpExchange("10.0.0.1:80"))
 
 
--- a/sloepond/core/forwarding/bootstrap.py
+++ b/sloepond/core/forwarding/bootstrap.py
@@ -59,8 +59,8 @@
         self._reads_at = -NEVER
         self._asked = ""
         self._may_ask_again = False
-        self._greeted: set[str] = set()
-        self._greetings_left = FANOUT
+        self._contacted: set[str] = set()
+        self._contacts_left = FANOUT
 
     def begin(self, now: float) -> None:
         """Begin: where there may be peers, the store is not read yet."""
@@ -69,7 +69,7 @@
             self._read_store_at(now + PEERS_FIRST_S)
 
     def join(self, now: float) -> None:
-        """Note that peers can be spoken to."""
+        """Note that peers can be reached from now on."""
         self._ask_at = max(now + JOIN_S, self._started_at + ASK_PEERS_AFTER_S)
         self._ask_anywhere_at = self._started_at + ASK_ANYWHERE_AFTER_S
 
@@ -83,7 +83,7 @@
         return self._ask_at
 
     def on_time(self, now: float) -> tuple[str, ...]:
-        """Ask a peer if nothing else has brought anything; return some to speak to.
+        """Ask a peer if nothing else has brought anything; return some to send a heartbeat to.
 
         Whoever of them knows something answers, and is asked then.
         """
@@ -94,13 +94,13 @@
             return ()
         self._ask_at = now + FETCH_S
         self._may_ask_again = True
-        self._greetings_left = FANOUT
+        self._contacts_left = FANOUT
         sources = self._peers.choose_source(now, now >= self._ask_anywhere_at)
         self._commands.extend(FetchKnowledge(ip) for ip in sources)
         return tuple(self._peers.choose(now))
 
     def peer_heard(self, ip: str, heartbeat: Heartbeat, now: float) -> tuple[str, ...]:
-        """Ask a peer in this zone that knows something; return others to speak to.
+        """Ask a peer in this zone that knows something; return others to send a heartbeat to.
 
         Not while the store is being read and has not been silent for long.
         """
@@ -117,11 +117,11 @@
         return ()
 
     def _choose_unknown(self, ips: tuple[str, ...]) -> tuple[str, ...]:
-        """Return some peers not spoken to yet; few, whatever others tell."""
-        unknown = [ip for ip in ips if ip not in self._greeted]
-        chosen = tuple(unknown[: self._greetings_left])
-        self._greeted.update(chosen)
-        self._greetings_left -= len(chosen)
+        """Return some peers not contacted yet; few, however many others name."""
+        unknown = [ip for ip in ips if ip not in self._contacted]
+        chosen = tuple(unknown[: self._contacts_left])
+        self._contacted.update(chosen)
+        self._contacts_left -= len(chosen)
         return chosen
 
     def fetch_failed(self, ip: str, now: float) -> None:
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -108,7 +108,7 @@
         if now >= self._expire_at:
             self._counters.held_packets_dropped += self._lookup.expire(now)
             self._expire_at = NEVER
-        self._greet(self.bootstrap.on_time(now), now)
+        self._introduce(self.bootstrap.on_time(now), now)
 
     def hurry_heartbeat(self, now: float) -> None:
         """Tell peers soon that more is known here than before."""
@@ -131,16 +131,16 @@
             self._disseminated(event.ip, message, now)
 
     def _heartbeat_received(self, ip: str, message: Heartbeat, now: float) -> None:
-        is_lonely = len(message.known_peers) < SHARED_PEERS and self._peers.is_new(ip, now)
-        is_fresh = not message.routes_version and self._routes.version > 0
-        if is_lonely or is_fresh:
+        knows_few_peers = len(message.known_peers) < SHARED_PEERS and self._peers.is_new(ip, now)
+        knows_nothing = not message.routes_version and self._routes.version > 0
+        if knows_few_peers or knows_nothing:
             self._send([ip], self._heartbeat(now, message.zone))
         self._peers.heard(ip, message, now)
         self._dissemination.peer_heard(ip, message.routes_version, message.backends_revision, now)
-        self._greet(self.bootstrap.peer_heard(ip, message, now), now)
+        self._introduce(self.bootstrap.peer_heard(ip, message, now), now)
 
-    def _greet(self, ips: tuple[str, ...], now: float) -> None:
-        """Speak to peers of which some may know more."""
+    def _introduce(self, ips: tuple[str, ...], now: float) -> None:
+        """Send a heartbeat to peers, of which some may know more; they answer with theirs."""
         if ips:
             self._send(list(ips), self._heartbeat(now))
 
--- a/sloepond/runtime/forwarding/http_client.py
+++ b/sloepond/runtime/forwarding/http_client.py
@@ -36,11 +36,11 @@
         :param silence_s: longest wait for the next bytes of the answer.
         :param first_wait_s: the same for the first bytes; `silence_s` if not given.
         """
-        patience = Patience(self._loop, silence_s, silence_s if first_wait_s is None else first_wait_s)
+        deadline = CallDeadline(self._loop, silence_s, silence_s if first_wait_s is None else first_wait_s)
         connection: HttpConnection | None = None
         try:
-            connection = self._idle.pop() if self._idle else await self._connect(patience)
-            response = await connection.get(target, patience)
+            connection = self._idle.pop() if self._idle else await self._connect(deadline)
+            response = await connection.get(target, deadline)
         except TimeoutError:
             failure = HttpFailure.TIMED_OUT
             self.close()
@@ -67,30 +67,30 @@
         else:
             connection.close()
 
-    async def _connect(self, patience: Patience) -> HttpConnection:
-        stream = await connect(self._server, patience.deadline)
+    async def _connect(self, deadline: CallDeadline) -> HttpConnection:
+        stream = await connect(self._server, deadline.at)
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return HttpConnection(stream, HttpExchange(f"{self._server.host}:{self._server.port}"))
 
 
-class Patience:
-    """Moves the end of a call on while its answer is coming.
+class CallDeadline:
+    """When a call is given up: later as long as its answer is coming.
 
-    :ivar deadline: when the call is given up.
+    :ivar at: seconds of the loop's clock.
     """
 
     def __init__(self, loop: EventLoop, silence_s: float, first_wait_s: float) -> None:
         self._loop = loop
         self._silence_s = silence_s
         self._latest: float | None = None
-        self.deadline = loop.clock() + first_wait_s
+        self.at = loop.clock() + first_wait_s
 
-    def heard(self) -> None:
-        """Note that bytes of the answer have come."""
+    def extend(self) -> None:
+        """Move the deadline on: bytes of the answer have come."""
         now = self._loop.clock()
         if self._latest is None:
             self._latest = now + LONGEST_CALL_S
-        self.deadline = min(now + self._silence_s, self._latest)
+        self.at = min(now + self._silence_s, self._latest)
 
 
 class HttpConnection:
@@ -100,20 +100,20 @@
         self._stream = stream
         self.exchange = exchange
 
-    async def get(self, target: str, patience: Patience) -> HttpResponse:
+    async def get(self, target: str, deadline: CallDeadline) -> HttpResponse:
         """Send a request and return the response.
 
-        :param patience: told of all bytes that come.
+        :param deadline: extended whenever bytes come.
 
         :raises OSError: where the connection fails, `TimeoutError` where it is too slow.
         :raises HttpSyntaxError: where the server does not speak HTTP or breaks off.
         """
-        await send_all(self._stream, self.exchange.request(target), patience.deadline)
+        await send_all(self._stream, self.exchange.request(target), deadline.at)
         response = None
         while response is None:
-            await readable(self._stream, patience.deadline)
+            await readable(self._stream, deadline.at)
             data = self._stream.recv(READ_BYTES)
-            patience.heard()
+            deadline.extend()
             response = self.exchange.receive(data)
         return response
 
