Probe: the platform goes down only once the fabric is seen to know the balancers

Traced: the fabric learns the balancers from the platform's list, which it polls; flows count as started when their client has begun them. Where five were begun before the first poll and the platform then went down, the fabric knew nobody until it came back. The probe now waits for a request in progress first. Its checks are the same.

--- a/sloepond/demo/probes/stale_platform.py
+++ b/sloepond/demo/probes/stale_platform.py
@@ -17,6 +17,8 @@
 GENERATION = 2
 _STALE_GENERATION = 1
 _FLOWS_BETWEEN_STEPS = 5
+_IN_PROGRESS = 1
+"""Requests in progress that show that the fabric knows the balancers."""
 _FROM_PLATFORM = "from the platform"
 _IN_FORCE = "configuration-in-force"
 
@@ -30,6 +32,9 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watch.run)
         await load.wait_for_flows(_FLOWS_BETWEEN_STEPS)
+        # The fabric reads the list of machines late; had it none yet, no request would
+        # reach a balancer while the platform is down.
+        await fleet.wait_busy(fleet.balancers[0], _IN_PROGRESS)
         known = frozenset(watch.sequences)
         await fleet.access.set_mode(fleet.platform_url, ModeRequest(PlatformMode.DOWN))
         for balancer in list(fleet.balancers):
