A probe that fails is never repeated at once; a test of the acceptor could not fail

The acceptor's scenario waited for a condition that held already; it now waits for the first connection's end.

--- a/features/forwarding/store.feature
+++ b/features/forwarding/store.feature
@@ -70,3 +70,6 @@
 
   Scenario: A store that refuses is asked by probes until it serves again
     Then forwarding property: while calls are refused few are reads, and once they are served all is read soon
+
+  Scenario: A probe that fails, for whatever reason, is not repeated at once
+    Then forwarding property: a reader whose probes fail sends at most four a second
--- a/features/steps/forwarding_loop_steps.py
+++ b/features/steps/forwarding_loop_steps.py
@@ -145,11 +145,12 @@
     context.listener = socket.create_server(("127.0.0.1", 0))
     context.listener.setblocking(False)
     context.add_cleanup(context.listener.close)
-    context.served = 0
+    context.served = context.ended = 0
 
     async def serve(stream):
         context.served += 1
         await readable(stream, context.loop.clock() + PATIENCE_S)
+        context.ended += 1
 
     Acceptor(context.loop, context.listener, serve, 2, context.counters)
     context.clients = [connected(context) for _ in range(3)]
@@ -181,8 +182,8 @@
 @then("the event loop serves another one after the first has ended")
 def serves_another(context):
     context.clients[0].close()
-    run_until(context, lambda: context.counters.connections_broken or context.served == 2)
-    context.loop.run_once()
+    assert context.served == 2
+    run_until(context, lambda: context.ended == 1)
     connected(context)
     run_until(context, lambda: context.served == 3)
 
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -427,3 +427,12 @@
         assert harness.node.routes_age(harness.now) < 1.0 and harness.node.backends_age(harness.now) < 1.0
 
     check()
+
+
+@then("forwarding property: a reader whose probes fail sends at most four a second")
+def few_probes(context):
+    for failure in StoreFailure:
+        harness = Harness().become_reader()
+        store = RefusingStore(harness, failure)
+        store.refuse_until(harness.now + REFUSED_S)
+        assert store.probes <= 4 * REFUSED_S, (failure, store.probes)
--- a/sloepond/core/forwarding/store_contact.py
+++ b/sloepond/core/forwarding/store_contact.py
@@ -73,17 +73,15 @@
         self._probe_at = now + INTERVAL_S
 
     def failed(self, reason: StoreFailure, now: float) -> None:
-        """Note a call that brought nothing."""
-        if reason is StoreFailure.HISTORY_LOST:
-            return
+        """Note a read or a probe that brought nothing; the next probe waits in any case."""
         wait_s = RETRY_S[min(self._failures, len(RETRY_S) - 1)]
         if reason is StoreFailure.THROTTLED:
             wait_s = max(wait_s, THROTTLED_RETRY_S)
         self._failures += 1
         if reason is not StoreFailure.TIMED_OUT or self._failures >= SILENT_FAILURES:
             self.may_read = False
-        if not self.may_read:
-            self._probe_at = now + wait_s * (0.5 + self._random.random())
+        probe_at = now + wait_s * (0.5 + self._random.random())
+        self._probe_at = max(self._probe_at, probe_at) if self.may_read else probe_at
 
     def probe_ended(self) -> None:
         """Note that the probe under way has ended, with an answer or without."""
