--- /dev/null
+++ b/benchmarks/starts.py
@@ -0,0 +1,73 @@
+"""Tells from the log of a played day how long balancers took from their first line to readiness.
+
+    fleetbench run SITE DAY --log all > day.txt
+    python benchmarks/starts.py day.txt ...
+
+Prints, for each log, how many starts became ready and the least, middle and longest time.
+A start that ends before it is ready is counted apart.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import re
+import sys
+
+import msgspec
+
+LINE = re.compile(r'^\s*(?P<at>-?[\d.]+) (?P<machine>\S+) (?P<line>\{"at":.*)$')
+"""A line of the bench: simulated time, name of the machine, line of the process."""
+
+
+class ProcessLine(msgspec.Struct):
+    """What is needed of a balancer's log line.
+
+    :ivar at: seconds since the process wrote its first line.
+    """
+
+    at: float
+    kind: str
+    subject: str = ""
+
+
+class Starts(msgspec.Struct):
+    """Starts of one log.
+
+    :ivar ready_s: seconds from the first line to readiness, one for each that became ready.
+    """
+
+    started: int
+    ready_s: list[float]
+
+
+def main() -> None:
+    """Print a line for each log named on the command line."""
+    print("| log | starts | not ready before their end | least s | middle s | longest s |")
+    print("| --- | --- | --- | --- | --- | --- |")
+    for name in sys.argv[1:]:
+        starts = read_starts(pathlib.Path(name).read_text(errors="replace"))
+        ready = sorted(starts.ready_s)
+        figures = f"{ready[0]:.3f} | {ready[len(ready) // 2]:.3f} | {ready[-1]:.3f}" if ready else "| |"
+        print(f"| {pathlib.Path(name).stem} | {starts.started} | {starts.started - len(ready)} | {figures} |")
+
+
+def read_starts(text: str) -> Starts:
+    """Return the starts in a log."""
+    starts = Starts(0, [])
+    for line in text.splitlines():
+        found = LINE.match(line)
+        if found is None:
+            continue
+        try:
+            said = msgspec.json.decode(found["line"], type=ProcessLine)
+        except msgspec.MsgspecError:
+            continue  # The bench cuts long lines.
+        if said.kind == "started":
+            starts.started += 1
+        elif said.kind == "ready":
+            starts.ready_s.append(said.at)
+    return starts
+
+
+if __name__ == "__main__":
+    main()
