--- a/features/steps/forwarding_client_steps.py
+++ b/features/steps/forwarding_client_steps.py
@@ -91,7 +91,8 @@
     """Read the routes from a store that sends as many halves of its answer."""
     loop = SimulatedLoop()
     value = base64.b64encode(json.dumps({"version": 4, "routes": []}).encode()).decode()
-    body = json.dumps({"key": "op/config", "value": value, "at": 3}).encode()
+    item = {"key": "op/config", "value": value, "rev": 2}
+    body = json.dumps({"items": [item], "more": False, "at": 3}).encode()
     data = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
     half = len(data) // 2
     stream = answer_in_parts(loop, [data[:half], data[half:]][:halves])
--- /dev/null
+++ b/features/steps/forwarding_evacuation_steps.py
@@ -0,0 +1,319 @@
+"""Steps on evacuated zones, back ends that have just started, and regions of routes."""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict
+
+from behave import given, then, when
+from forwarding_fleet import Fleet, route
+from forwarding_model import ROUTES, STREAM, Harness, fresh_node, record, segment
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from sloepond.core.forwarding.backends import BackendDirectory
+from sloepond.core.forwarding.cold_openings import ColdLimit
+from sloepond.core.forwarding.evacuated_zones import EvacuatedZones
+from sloepond.core.forwarding.evacuations import Evacuations
+from sloepond.core.forwarding.events import (
+    BackendsChanged,
+    BackendsRead,
+    DepartedBackend,
+    RoutesRead,
+    StoreCallFailed,
+    StoreFailure,
+    Subject,
+    TimerFired,
+)
+from sloepond.core.forwarding.packets import Refusal
+from sloepond.core.forwarding.places import PlaceRules
+from sloepond.core.forwarding.route_table import RouteTable
+from sloepond.core.forwarding.routes import ColdStart, Route, RouteConfiguration, Share
+
+PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=60)
+FLEET_PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=6)
+ZONES = ("north", "south", "west")
+LIMIT = ColdLimit(factor=1.5, slack_per_s=5.0)
+COLD_S = 2.0
+COLD_STARTS = (ColdStart("booking", COLD_S, 0.0),)
+WARM_ROUTES = RouteConfiguration(ROUTES.version, ROUTES.routes, cold_starts=COLD_STARTS)
+REGIONS = {"north": "here", "south": "here", "west": "there"}
+
+
+def zoned_records(numbers, revision=1):
+    """Return back ends of one service, one zone after the other."""
+    return tuple(record(number, zone=ZONES[number % 3], revision=revision) for number in numbers)
+
+
+@then("forwarding property: zones evacuated and taken back are known to a fleet with losses within 2 seconds")
+def evacuations_reach_all(context):
+    @FLEET_PROPERTY
+    @for_all(
+        st.integers(0, 2**32),
+        st.lists(st.tuples(st.sampled_from(ZONES), st.booleans(), st.booleans()), min_size=1, max_size=5),
+    )
+    def check(seed, steps):
+        fleet = Fleet(24, seed, loss=0.2)
+        fleet.run(6.0)
+        for zone, is_evacuated, is_configured in steps:
+            fleet.store.evacuate(zone, fleet.now, is_evacuated)
+            if is_configured:
+                fleet.store.configure([*fleet.store.routes.routes, route(seed % 1000 + 10)], fleet.now)
+            fleet.run(0.1)
+        fleet.run_until_known(2.0)
+
+    check()
+
+
+@then("forwarding property: evacuations reach a fleet of which a third is refused and some restart")
+def evacuations_under_failure(context):
+    @FLEET_PROPERTY
+    @for_all(st.integers(0, 2**32), st.sampled_from(ZONES), st.sampled_from(ZONES))
+    def check(seed, first, second):
+        fleet = Fleet(24, seed, loss=0.1)
+        fleet.run(6.0)
+        chance = random.Random(seed)
+        fleet.storeless = {*fleet.readers()[:2], *chance.sample(fleet.ips, 6)}
+        fleet.store.evacuate(first, fleet.now)
+        fleet.store.evacuate(second, fleet.now)
+        for ip in chance.sample(fleet.ips, 4):
+            fleet.kill(ip)
+            fleet.start(ip)
+        fleet.run_until_known(4.0)
+        fleet.store.evacuate(first, fleet.now, is_evacuated=False)
+        for ip in chance.sample(fleet.ips, 4):
+            fleet.kill(ip)
+            fleet.start(ip)
+        fleet.run_until_known(4.0)
+
+    check()
+
+
+@then("forwarding property: the newest set of evacuated zones is in force in any order of messages")
+def newest_in_force(context):
+    sets = st.dictionaries(st.integers(1, 50), st.sets(st.sampled_from(ZONES)), min_size=1)
+
+    @PROPERTY
+    @for_all(sets, st.randoms(use_true_random=False))
+    def check(written, chance):
+        directory = BackendDirectory()
+        evacuations = Evacuations(RouteTable(random.Random(1)), directory)
+        for entry in zoned_records(range(6)):
+            directory.put(entry, 1.0)
+        told = list(written)
+        chance.shuffle(told)
+        for revision in told:
+            evacuations.take(EvacuatedZones(revision, tuple(sorted(written[revision]))), 1.0)
+        newest = written[max(written)]
+        assert set(evacuations.known.zones) == newest
+        assert {backend.zone for backend in directory.candidates("booking")} == set(ZONES) - newest
+
+    check()
+
+
+@when("forwarding learns that zone north is evacuated and its reads fail")
+def evacuated_and_failing(context):
+    harness = context.harness
+    harness.handle(RoutesRead(30, ROUTES, ("north",)))
+    for reason in StoreFailure:
+        harness.handle(StoreCallFailed(Subject.ROUTES, reason, False))
+        harness.handle(StoreCallFailed(Subject.ROUTES, reason, True))
+    harness.run_to(harness.now + 3.0, TimerFired())
+
+
+@then("forwarding refuses a new flow at once for want of a back end")
+def refused_at_once(context):
+    decision = context.harness.node.decide(segment(STREAM, 1, opening=True), context.harness.now)
+    assert decision.refusal is Refusal.NO_BACKEND and decision.reset and not decision.hold
+
+
+@then("forwarding property: no new flow goes to an evacuated zone, and every open flow stays")
+def only_new_flows(context):
+    @PROPERTY
+    @for_all(st.lists(st.sets(st.sampled_from(ZONES)), min_size=1, max_size=6))
+    def check(steps):
+        harness = Harness().configure(backends=zoned_records(range(1, 10)))
+        harness.run_to(harness.now + 5.0, TimerFired())
+        revision, port = 40, 0
+        for zones in steps:
+            revision += 1
+            harness.handle(RoutesRead(revision, ROUTES, tuple(zones)))
+            for number in range(1, 10):
+                kept = harness.node.decide(segment(port=500, token=number, length=5), harness.now)
+                assert kept.backend is not None and kept.backend.number == number
+            for copies in (0, 1):
+                port += 1
+                for _ in range(3):
+                    decision = harness.node.decide(
+                        segment(port=port, opening=True, copies=copies), harness.now
+                    )
+                    assert decision.backend is None or decision.backend.zone not in zones
+                    assert len(zones) < 3 or (decision.reset and not decision.hold)
+
+    check()
+
+
+@given("a forwarding node that spares back ends after a start")
+def sparing_node(context):
+    node = fresh_node(cold_limit=ColdLimit(factor=1.5, slack_per_s=0.0))
+    context.harness = Harness(node).configure(WARM_ROUTES, zoned_records(range(1, 7)))
+    context.harness.run_to(context.harness.now + 6.0, TimerFired())
+
+
+@when("forwarding learns that zone south is evacuated and taken back")
+def evacuated_and_back(context):
+    context.harness.handle(RoutesRead(50, WARM_ROUTES, ("south",)))
+    context.harness.run_to(context.harness.now + 3.0, TimerFired())
+    context.harness.handle(RoutesRead(51, WARM_ROUTES, ()))
+
+
+@then("forwarding places no flow in zone south for 2 seconds, and some then")
+def spared_then_used(context):
+    harness = context.harness
+    begun = harness.now
+    zones = defaultdict(set)
+    for port in range(80):
+        decision = harness.node.decide(segment(STREAM, port, opening=True), harness.now)
+        assert decision.hold or decision.backend is not None
+        if decision.backend is not None:
+            zones[harness.now - begun < COLD_S].add(decision.backend.zone)
+        harness.run_to(harness.now + 0.05, TimerFired())
+    assert zones[True] == {"north", "west"}
+    assert zones[False] == set(ZONES)
+
+
+class Openings:
+    """Opens flows at all nodes of a fleet and counts those of each cold back end."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.opened = defaultdict(list)
+        self.placed = 0
+        self.port = 0
+
+    def open_for(self, seconds, flows_a_step):
+        """Open flows at random nodes, one step each 50 ms."""
+        fleet = self.fleet
+        end = fleet.now + seconds
+        while fleet.now < end:
+            for _ in range(flows_a_step):
+                self.port += 1
+                node = fleet.nodes[fleet.random.choice(sorted(fleet.nodes))]
+                opening = segment(443, self.port % 60_000, opening=True)
+                decision = node.decide(opening, fleet.now)
+                if decision.backend is not None:
+                    self.placed += 1
+                    self.opened[decision.backend.name].append(fleet.now)
+            fleet.run(0.05)
+
+    def most_in_a_second(self, names):
+        """Return the most openings of one back end in any one second."""
+        return max(
+            (
+                sum(at <= other < at + 1.0 for other in times)
+                for name, times in self.opened.items()
+                if name in names
+                for at in times
+            ),
+            default=0,
+        )
+
+
+def cold_fleet(seed, share_cold, count=20):
+    """Return a fleet of which a share of the back ends has just started, and their names."""
+    fleet = Fleet(count, seed, cold_limit=LIMIT)
+    fleet.store.configure(
+        [Route("r0", 443, (Share("booking", 1),))], fleet.now, (ColdStart("booking", 60.0, 0.0),)
+    )
+    for number in range(1, 13):
+        fleet.store.put(number, fleet.now)
+    fleet.run(8.0)
+    cold = [number for number in range(1, 13) if number <= 12 * share_cold]
+    for number in cold:
+        fleet.store.revision += 1
+        entry = record(number, revision=fleet.store.revision, cold_s=60.0)
+        fleet.store.backends[entry.name] = entry
+        fleet.store.log.append((fleet.now, Subject.BACKENDS, fleet.store.revision, entry))
+    fleet.run_until_known(2.0)
+    return fleet, {record(number).name for number in cold}
+
+
+@then("forwarding property: in no second a cold back end is opened more often than it bears")
+def within_limit(context):
+    @FLEET_PROPERTY
+    @for_all(st.integers(0, 2**32), st.sampled_from((0.34, 0.7, 1.0)), st.integers(2, 12))
+    def check(seed, share_cold, flows_a_step):
+        fleet, cold = cold_fleet(seed, share_cold)
+        openings = Openings(fleet)
+        openings.open_for(3.0, flows_a_step)
+        assert openings.placed > 0
+        assert openings.most_in_a_second(cold) <= LIMIT.slack_per_s
+
+    check()
+
+
+@then("forwarding property: cold back ends are spared while views of the fleet differ")
+def within_limit_views_differ(context):
+    @FLEET_PROPERTY
+    @for_all(st.integers(0, 2**32))
+    def check(seed):
+        fleet, cold = cold_fleet(seed, 1.0)
+        openings = Openings(fleet)
+        for ip in fleet.random.sample(fleet.ips, 6):
+            fleet.kill(ip)
+            fleet.start(ip)
+        for ip in fleet.ips:
+            fleet.group[ip] = fleet.random.randrange(3)
+        openings.open_for(7.0, 8)
+        assert openings.most_in_a_second(cold) <= LIMIT.slack_per_s
+
+    check()
+
+
+@then("a fleet opens some flows of a service whose back ends are all cold")
+def some_flows(context):
+    fleet, cold = cold_fleet(5, 1.0)
+    openings = Openings(fleet)
+    openings.open_for(4.0, 8)
+    assert set(openings.opened) == cold
+    assert openings.placed >= 2 * len(cold)
+
+
+@then("forwarding property: first, second and last choices stay within the regions of a route")
+def within_regions(context):
+    homed = Route("homed", 77 << 16 | 443, (Share("booking", 1),), regions=("here",))
+    routes = RouteConfiguration(9, (*ROUTES.routes, homed))
+    actions = st.lists(st.tuples(st.integers(1, 9), st.integers(0, 3)), min_size=1, max_size=40)
+
+    @PROPERTY
+    @for_all(actions)
+    def check(steps):
+        node = fresh_node(places=PlaceRules(regions=REGIONS))
+        harness = Harness(node).configure(routes, zoned_records(range(1, 10)))
+        harness.run_to(harness.now + 5.0, TimerFired())
+        for step, (number, action) in enumerate(steps):
+            revision = 20 + step
+            if action == 0:
+                harness.handle(BackendsChanged(revision, zoned_records([number], revision)))
+            elif action == 1:
+                gone = DepartedBackend(record(number).name, revision)
+                harness.handle(BackendsChanged(revision, (gone,)))
+            elif action == 2:
+                harness.handle(BackendsRead(revision, zoned_records([number], revision)))
+            else:
+                harness.run_to(harness.now + 0.1 * number, TimerFired())
+            for copies in range(3):
+                opening = segment(homed.key, step, opening=True, copies=copies)
+                decision = harness.node.decide(opening, harness.now)
+                assert decision.backend is None or REGIONS[decision.backend.zone] == "here"
+
+    check()
+
+
+@then("forwarding refuses a flow whose route names regions when it knows no region of any zone")
+def unknown_regions(context):
+    homed = Route("homed", 77 << 16 | 443, (Share("booking", 1),), regions=("here",))
+    harness = Harness().configure(RouteConfiguration(9, (homed,)), zoned_records(range(1, 10)))
+    decision = harness.node.decide(segment(homed.key, 1, opening=True), harness.now)
+    assert decision.refusal is Refusal.NO_BACKEND and decision.reset
--- a/features/steps/forwarding_fleet.py
+++ b/features/steps/forwarding_fleet.py
@@ -17,6 +17,7 @@
     SendToPeer,
     WatchSubject,
 )
+from sloepond.core.forwarding.evacuated_zones import ZoneChange
 from sloepond.core.forwarding.events import (
     BackendsChanged,
     BackendsRead,
@@ -55,6 +56,7 @@
         self.revision = 100
         self.routes = RouteConfiguration(1, tuple(route(n) for n in range(5)))
         self.backends = {}
+        self.evacuated = set()
         self.log = []
         self.calls = 0
         self.route_reads = 0
@@ -75,16 +77,27 @@
         del self.backends[name]
         self.log.append((now, Subject.BACKENDS, self.revision, DepartedBackend(name, self.revision)))
 
-    def configure(self, routes, now):
+    def evacuate(self, zone, now, is_evacuated=True):
+        """Write that a zone is evacuated, or remove that."""
+        self.revision += 1
+        if is_evacuated:
+            self.evacuated.add(zone)
+        else:
+            self.evacuated.discard(zone)
+        self.log.append((now, Subject.ROUTES, self.revision, ZoneChange(zone, self.revision, is_evacuated)))
+
+    def configure(self, routes, now, cold_starts=()):
         """Write a version of the routes."""
         self.revision += 1
-        self.routes = RouteConfiguration(self.routes.version + 3, tuple(routes))
+        self.routes = RouteConfiguration(
+            self.routes.version + 3, tuple(routes), cold_starts=tuple(cold_starts)
+        )
         self.log.append((now, Subject.ROUTES, self.revision, self.routes))
 
     def read(self, command, now):
         """Return what a read brings."""
         if command.subject is Subject.ROUTES:
-            return RoutesRead(self.revision, self.routes)
+            return RoutesRead(self.revision, self.routes, tuple(self.evacuated))
         if not command.may_be_stale:
             return BackendsRead(self.revision, tuple(self.backends.values()))
         entries = {}
@@ -104,8 +117,11 @@
         if not found:
             return None
         values = tuple(change for _, change in found)
-        kind = RoutesChanged if command.subject is Subject.ROUTES else BackendsChanged
-        return kind(self.revision, values)
+        if command.subject is Subject.BACKENDS:
+            return BackendsChanged(self.revision, values)
+        zones = tuple(change for change in values if isinstance(change, ZoneChange))
+        configurations = tuple(change for change in values if not isinstance(change, ZoneChange))
+        return RoutesChanged(self.revision, configurations, zones)
 
 
 class Fleet:
@@ -116,7 +132,8 @@
     :ivar storeless: addresses whose calls to the store bring nothing.
     """
 
-    def __init__(self, count, seed=1, loss=0.0, seeds=3):
+    def __init__(self, count, seed=1, loss=0.0, seeds=3, **options):
+        self.options = options
         self.random = random.Random(seed)
         self.now = 10.0
         self.store = SimulatedStore()
@@ -137,7 +154,8 @@
         """Start a fresh process."""
         self.watches = {key: watch for key, watch in self.watches.items() if key[0] != ip}
         zone = f"z{int(ip.rpartition('.')[2]) % 3}"
-        node = ForwardingNode(zone, random.Random(self.random.random()), ip, self.seeds, capacity=0.1)
+        chance = random.Random(self.random.random())
+        node = ForwardingNode(zone, chance, ip, self.seeds, capacity=0.1, **self.options)
         self.nodes[ip] = node
         self.carry_out(ip, node, node.start(self.now))
         self.carry_out(ip, node, node.handle(PeersJoined(), self.now))
@@ -264,5 +282,7 @@
         wanted = {route.key: route for route in self.store.routes.routes}
         if node.routes.version != self.store.routes.version or routes != wanted:
             return False
+        if set(node.evacuations.known.zones) != self.store.evacuated:
+            return False
         listed = {b.name: b.state for b in node.backends if b.state is not BackendState.DEPARTED}
         return listed == {entry.name: entry.state for entry in self.store.backends.values()}
--- a/features/steps/forwarding_platform_steps.py
+++ b/features/steps/forwarding_platform_steps.py
@@ -15,6 +15,7 @@
 from sloepond.core.forwarding.backend import ForwardingBackend, token_of
 from sloepond.core.forwarding.backend_records import BackendRecord, BackendState
 from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
+from sloepond.core.forwarding.evacuated_zones import ZoneChange
 from sloepond.core.forwarding.events import (
     BackendsChanged,
     BackendsRead,
@@ -25,7 +26,7 @@
     StoreFailure,
     Subject,
 )
-from sloepond.core.forwarding.routes import Share
+from sloepond.core.forwarding.routes import ColdStart, Share
 from sloepond.platform.packet_codec import EchoPacketCodec
 from sloepond.platform.settings import parse_settings
 from sloepond.platform.store import PlatformStoreCodec
@@ -47,12 +48,17 @@
 a.field.of.tomorrow=1
 no field
 platform.addr=10.200.1.7:8169
+zones.osu-hall=accra
+zones.tema-hall=accra
+bounds.cold_over=1.5
+bounds.cold_slack=5
 """
 CONFIGURATION = (
     b'{"version":7,"new":1,"routes":[{"name":"r-a","host":"198.18.0.1","path_prefix":"/8443/",'
     b'"kind":"safe","timeout_ms":2000,"slo_ms":120,"priority":2,"split":[{"service":"a","weight":90},'
     b'{"service":"b","weight":10}],"max_attempts":2},{"name":"r-b","host":"198.18.0.2",'
-    b'"path_prefix":"/80/","kind":"unsafe","timeout_ms":2500,"service":"b"}],'
+    b'"path_prefix":"/80/","kind":"unsafe","timeout_ms":2500,"service":"b","allowed_regions":["accra"]}],'
+    b'"services":[{"name":"a","cold_start_s":2.0,"cold_per_s":3.0},{"name":"b"}],'
     b'"limits":{"idle_timeout_ms":15000}}'
 )
 SERVER = (
@@ -79,6 +85,13 @@
     return {"key": key, "value": base64.b64encode(value).decode(), "rev": rev, "made": 1, "lease": 0}
 
 
+def operator_page(revision, configuration=CONFIGURATION, evacuated=()):
+    """Return the body of an answer with what operators have written."""
+    items = [item("op/config", configuration, 412)]
+    items.extend(item(f"op/evacuate/{zone}", b"{}", 413) for zone in evacuated)
+    return encode({"items": items, "more": False, "at": revision})
+
+
 def encode(answer):
     """Return an answer's body."""
     return msgspec.json.encode(answer)
@@ -133,13 +146,20 @@
     assert read.store == "10.200.1.7:8169"
     assert read.peer_port == 7720
     assert read.seeds == ("10.2.0.40", "10.3.0.7")
+    assert read.regions == {"osu-hall": "accra", "tema-hall": "accra"}
+    assert (read.cold_factor, read.cold_slack_per_s) == (1.5, 5.0)
+    unlimited = parse_settings(SETTINGS.replace("bounds.cold", "bounds.warm"))
+    assert unlimited.cold_slack_per_s is None
 
 
 @then("platform documents become routes and back ends")
 def documents(context):
-    body = encode({**item("op/config", CONFIGURATION, 412), "at": 530})
+    body = operator_page(530, evacuated=("osu-hall",))
     read = STORE.decode_page(Subject.ROUTES, body).event
     assert read.revision == 530 and read.configuration.version == 7
+    assert read.evacuated == ("osu-hall",)
+    assert read.configuration.cold_starts == (ColdStart("a", 2.0, 3.0),)
+    assert read.configuration.routes[1].regions == ("accra",)
     first, second = read.configuration.routes
     assert first.shares == (Share("a", 90), Share("b", 10))
     assert first.key == 0xC6120001 << 16 | 8443 and first.repeatable
@@ -157,20 +177,22 @@
     changed = STORE.decode_watch(WatchSubject(Subject.BACKENDS, 31, 1.0), body)
     assert changed.revision == 40
     assert changed.changes[1] == DepartedBackend("i-1", 33)
-    body = encode({"events": [item("op/config", CONFIGURATION, 32)], "at": 41})
-    changed = STORE.decode_watch(WatchSubject(Subject.ROUTES, 31, 1.0), body)
+    back = {"key": "op/evacuate/osu-hall", "rev": 34, "gone": True}
+    events = [item("op/config", CONFIGURATION, 32), item("op/evacuate/tema-hall", b"{}", 33), back]
+    changed = STORE.decode_watch(WatchSubject(Subject.ROUTES, 31, 1.0), encode({"events": events, "at": 41}))
     assert [c.version for c in changed.configurations] == [7]
+    assert changed.zones == (ZoneChange("tema-hall", 33, True), ZoneChange("osu-hall", 34, False))
 
 
 @then("platform property: any answer of the store becomes an event")
 def any_answer(context):
-    good = encode({**item("op/config", CONFIGURATION, 412), "at": 530})
+    good = operator_page(530)
     bodies = st.one_of(
         st.binary(max_size=60),
         st.integers(0, len(good) - 1).map(lambda size: good[:size]),
         st.just(encode({"items": [item("servers/i-1", b"{}", 1)], "more": False, "at": 3})),
         st.just(encode({"events": [item("servers/x", CONFIGURATION, 1)], "at": 3})),
-        st.just(encode({**item("op/config", b'{"version":1,"routes":[{"name":"x"}]}', 1), "at": 1})),
+        st.just(operator_page(1, b'{"version":1,"routes":[{"name":"x"}]}')),
     )
     statuses = st.sampled_from((200, 200, 200, 404, 410, 429, 500, 503))
     answers = st.one_of(st.builds(HttpResponse, statuses, bodies), st.sampled_from(tuple(HttpFailure)))
--- a/features/steps/forwarding_readers_steps.py
+++ b/features/steps/forwarding_readers_steps.py
@@ -13,6 +13,7 @@
 
 from sloepond.core.forwarding.backend_records import BackendState
 from sloepond.core.forwarding.backends import BackendDirectory
+from sloepond.core.forwarding.evacuations import Evacuations
 from sloepond.core.forwarding.news import News
 from sloepond.core.forwarding.readers import READERS, Role
 from sloepond.core.forwarding.route_delta import difference
@@ -24,6 +25,12 @@
 SETTLED_S = 6.0
 
 
+def news_of(backends):
+    """Return what tells and takes changes of back ends."""
+    routes = RouteTable(random.Random(1))
+    return News(routes, backends, Evacuations(routes, backends))
+
+
 @given("a simulated fleet of {count:d} forwarding nodes")
 def fleet_of(context, count):
     context.fleet = Fleet(count)
@@ -229,7 +236,7 @@
     )
     def check(rounds, chance):
         reader, listener = BackendDirectory(), BackendDirectory()
-        news, taken = (News(RouteTable(random.Random(1)), each) for each in (reader, listener))
+        news, taken = (news_of(each) for each in (reader, listener))
         revision, known = 0, 0
         for at, numbers in enumerate(rounds):
             for number in numbers:
--- a/features/steps/forwarding_standins.py
+++ b/features/steps/forwarding_standins.py
@@ -104,7 +104,7 @@
         for begin in range(0, len(data), part):
             handler.wfile.write(data[begin : begin + part])
             handler.wfile.flush()
-            if target.path == "/api/kv-key":
+            if query.get("path_prefix") == "op/" and target.path == "/api/kv-range":
                 self.closing.wait(self.pause_s)
 
     def close(self):
--- a/sloepond/core/forwarding/backend.py
+++ b/sloepond/core/forwarding/backend.py
@@ -79,6 +79,7 @@
         self.in_flight = 0
         self.latency = LatencyEstimate()
         self.silent_until = 0.0
+        self.warm_at = 0.0
         self.departed_at = now
         self.said_leaving = False
         self.update(record, now)
@@ -89,7 +90,7 @@
         self.state = record.state
         if record.state is BackendState.LEAVING:
             self.said_leaving = True
-        self.warm_at = now + record.cold_s
+        self.warm_at = max(self.warm_at, now + record.cold_s)
         self.revision = record.revision
         self.suspected_until = 0.0
         self.unreachable_until = 0.0
--- a/sloepond/core/forwarding/backends.py
+++ b/sloepond/core/forwarding/backends.py
@@ -23,6 +23,7 @@
 
     :param places: where flows may go; a back end elsewhere is given none.
     :ivar changes: which of them have changed since a revision.
+    :ivar cold_until: time until which one of them at least is slow from its start.
     :ivar is_listed: whether a whole list was taken; before that, peers may have told of
         single ones.
     """
@@ -36,6 +37,8 @@
         self._by_endpoint: dict[Endpoint, ForwardingBackend] = {}
         self._candidates: dict[str, list[ForwardingBackend]] = {}
         self._shadowed: set[str] = set()
+        self._evacuated: frozenset[str] = frozenset()
+        self.cold_until = 0.0
         self.changes = ChangeIndex()
 
     def __len__(self) -> int:
@@ -60,6 +63,20 @@
         self._places = places
         self._candidates.clear()
 
+    def zones_evacuated(self, zones: frozenset[str]) -> None:
+        """Take the zones that are given no new flow from now on."""
+        self._evacuated = zones
+        self._candidates.clear()
+
+    def is_within(self, backend: ForwardingBackend, regions: tuple[str, ...]) -> bool:
+        """Tell whether a back end stands in one of some regions."""
+        return self._places.is_within(regions, backend.zone)
+
+    def is_cold(self, backend: ForwardingBackend, until: float) -> None:
+        """Note that a back end is slow from its start until a time."""
+        backend.warm_at = max(backend.warm_at, until)
+        self.cold_until = max(self.cold_until, backend.warm_at)
+
     def by_token(self, token: int) -> ForwardingBackend | None:
         """Return the back end whose flows carry the token."""
         return self._by_token.get(token)
@@ -96,6 +113,7 @@
             return False
         else:
             backend.update(record, now)
+            self.cold_until = max(self.cold_until, backend.warm_at)
         self._changed(record.name, record.service, record.revision)
         return True
 
@@ -169,10 +187,13 @@
         return backend.state is BackendState.READY and self._may_take_flows(backend)
 
     def _may_take_flows(self, backend: ForwardingBackend) -> bool:
-        return backend.name not in self._shadowed and self._places.is_permitted(backend.service, backend.zone)
+        if backend.name in self._shadowed or backend.zone in self._evacuated:
+            return False
+        return self._places.is_permitted(backend.service, backend.zone)
 
     def _add(self, backend: ForwardingBackend) -> None:
         self._by_name[backend.name] = backend
+        self.cold_until = max(self.cold_until, backend.warm_at)
         self._by_service.setdefault(backend.service, {})[backend.name] = backend
         self._claim_token(backend)
         self._settle_address(backend)
--- a/sloepond/core/forwarding/commands.py
+++ b/sloepond/core/forwarding/commands.py
@@ -89,6 +89,7 @@
     STORE_LOST = "store_lost"
     STORE_REGAINED = "store_regained"
     ROUTES_IN_FORCE = "routes_in_force"
+    ZONES_EVACUATED = "zones_evacuated"
     BACKEND_CHANGED = "backend_changed"
     BACKEND_CHECKED = "backend_checked"
     FLOW_PLACED = "flow_placed"
--- a/sloepond/core/forwarding/dissemination.py
+++ b/sloepond/core/forwarding/dissemination.py
@@ -10,6 +10,7 @@
 from sloepond.core.forwarding.catch_up import CatchUp
 from sloepond.core.forwarding.commands import Command, FetchRoutes, LogKind, ProbeStore, SendToPeer, WriteLog
 from sloepond.core.forwarding.counters import ForwardingCounters
+from sloepond.core.forwarding.evacuated_zones import EvacuatedZones
 from sloepond.core.forwarding.events import StoreCallFailed, StoreFailure, Subject
 from sloepond.core.forwarding.follower import Follower
 from sloepond.core.forwarding.news import News
@@ -294,6 +295,8 @@
     def _take(self, ip: str, changes: Changes, age_s: float, now: float) -> None:
         follower = self._followers[Subject.BACKENDS]
         self._take_routes(ip, changes.route_delta, now)
+        if self._news.take_evacuated(changes, now):
+            self._log_evacuated(ip, changes.evacuated)
         changed = self._news.take_backends(changes, now)
         self._changed.extend(changed)
         revision = self._news.advanced(changes, follower.revision)
@@ -306,6 +309,10 @@
             if not self._catch_up.is_behind(subject):
                 self._confirmed_at[subject] = max(self._confirmed_at[subject], now - age_s)
 
+    def _log_evacuated(self, ip: str, evacuated: EvacuatedZones) -> None:
+        detail = f"from={ip} rev={evacuated.revision}"
+        self._commands.append(WriteLog(LogKind.ZONES_EVACUATED, ",".join(evacuated.zones) or "none", detail))
+
     def _take_routes(self, ip: str, delta: RouteDelta | None, now: float) -> None:
         if delta is None or not self._news.take_routes(delta, now):
             return
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sloepond.core.forwarding.backend_records import BackendRecord
+from sloepond.core.forwarding.evacuated_zones import ZoneChange
 from sloepond.core.forwarding.packets import Segment
 from sloepond.core.forwarding.peer_messages import Knowledge, PeerMessage
 from sloepond.core.forwarding.route_delta import RouteDelta
@@ -33,13 +34,15 @@
 
 
 class RoutesRead(msgspec.Struct, frozen=True):
-    """The newest routes were read; none if there are none yet.
+    """What operators have written was read whole; no routes if there are none yet.
 
     :ivar revision: the store's revision at the read.
+    :ivar evacuated: the zones that are evacuated.
     """
 
     revision: int
     configuration: RouteConfiguration | None
+    evacuated: tuple[str, ...] = ()
 
 
 class BackendsRead(msgspec.Struct, frozen=True):
@@ -50,10 +53,11 @@
 
 
 class RoutesChanged(msgspec.Struct, frozen=True):
-    """A watch answered: the routes as they were written, oldest first."""
+    """A watch answered: the routes as they were written, oldest first, and zones that changed."""
 
     revision: int
     configurations: tuple[RouteConfiguration, ...]
+    zones: tuple[ZoneChange, ...] = ()
 
 
 class DepartedBackend(msgspec.Struct, frozen=True):
--- a/sloepond/core/forwarding/forwarder.py
+++ b/sloepond/core/forwarding/forwarder.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 
 from sloepond.core.forwarding.admission import Admission, HeldOpening
 from sloepond.core.forwarding.backend import NO_TOKEN, Decision, ForwardingBackend
 from sloepond.core.forwarding.backends import BackendDirectory
+from sloepond.core.forwarding.cold_openings import ColdOpenings
 from sloepond.core.forwarding.counters import ForwardingCounters
 from sloepond.core.forwarding.flow_observer import FlowObserver
 from sloepond.core.forwarding.packets import Refusal, Segment
@@ -46,9 +48,11 @@
         routes: RouteTable,
         backends: BackendDirectory,
         stall_guard: StallGuard,
+        cold_openings: ColdOpenings,
         counters: ForwardingCounters,
         random_source: random.Random,
     ) -> None:
+        self._cold_openings = cold_openings
         self._routes = routes
         self._backends = backends
         self._stall_guard = stall_guard
@@ -90,6 +94,7 @@
         if backend is None:
             return _NO_BACKEND
         self._counters.flows_placed += 1
+        self._cold_openings.opened(backend, now)
         self.observer.opening(segment, backend, now)
         return backend.decision if first is None else Decision(backend, suspect=first.name)
 
@@ -99,34 +104,51 @@
         :param first: the one chosen for an earlier copy of its opening packet.
         """
         if first is not None:
-            return self._second_choice(first, now)
+            return self._second_choice(first, route, now)
         service = self._routes.turns(route).next()
-        if not self._has_room(service, now):
+        if not self._has_room(service, route, now):
             service = self._service_with_room(route, now) or service
-        return self._choose(service, now, "")
+        return self._choose(service, route, now, "")
 
-    def _second_choice(self, first: ForwardingBackend, now: float) -> ForwardingBackend | None:
+    def _second_choice(self, first: ForwardingBackend, route: Route, now: float) -> ForwardingBackend | None:
         """Return another back end than the one that left an opening packet unanswered."""
         first.silent_until = now + SILENCE_S
         self._counters.second_choices += 1
-        return self._choose(first.service, now, first.name)
+        return self._choose(first.service, route, now, first.name)
 
     def _must_wait(self, segment: Segment, route: Route, now: float) -> bool:
         """Tell whether there is room for a new flow nowhere, and it may wait for some."""
         if segment.acknowledgement and self.observer.known_backend(segment) is not None:
             return False
-        if any(self._has_room(share.service, now) for share in route.shares):
+        if any(self._has_room(share.service, route, now) for share in route.shares):
             return False
-        if not any(self._backends.candidates(share.service) for share in route.shares):
+        if not any(self._usable(share.service, route, now) for share in route.shares):
             return False
         return self.admission.may_hold(segment)
 
-    def _has_room(self, service: str, now: float) -> bool:
-        return self.admission.room(self._backends.candidates(service), now) > 0
+    def _usable(self, service: str, route: Route | None, now: float) -> Sequence[ForwardingBackend]:
+        """Return the back ends of a service that may be given a new flow now.
+
+        :param route: of the flow, None for any route without regions of its own.
+        """
+        return self._narrowed(self._backends.candidates(service), route, now)
+
+    def _narrowed(
+        self, backends: Sequence[ForwardingBackend], route: Route | None, now: float
+    ) -> Sequence[ForwardingBackend]:
+        """Return those in the regions of a route that are not given too many flows for their start."""
+        if route is not None and route.regions:
+            backends = [each for each in backends if self._backends.is_within(each, route.regions)]
+        if now < self._backends.cold_until:
+            return self._cold_openings.usable(backends, now)
+        return backends
+
+    def _has_room(self, service: str, route: Route, now: float) -> bool:
+        return self.admission.room(self._usable(service, route, now), now) > 0
 
     def _service_with_room(self, route: Route, now: float) -> str | None:
         for share in route.shares:
-            if share.weight > 0 and self._has_room(share.service, now):
+            if share.weight > 0 and self._has_room(share.service, route, now):
                 self._counters.flows_diverted += 1
                 return share.service
         return None
@@ -153,13 +175,12 @@
         if not services:
             return []
         self.observer.expire_requests(now)
-        rooms = {
-            service: self.admission.room(self._backends.candidates(service), now) for service in services
-        }
+        rooms = {service: self.admission.room(self._usable(service, None, now), now) for service in services}
         return self.admission.release(rooms, now)
 
-    def _choose(self, service: str, now: float, avoided: str) -> ForwardingBackend | None:
-        candidates = self._backends.candidates(service)
-        if not candidates:
-            candidates = self._backends.lately_departed(service, now - LAST_RESORT_S)
+    def _choose(self, service: str, route: Route, now: float, avoided: str) -> ForwardingBackend | None:
+        candidates = self._usable(service, route, now)
+        if not self._backends.candidates(service):
+            departed = self._backends.lately_departed(service, now - LAST_RESORT_S)
+            candidates = self._narrowed(departed, route, now)
         return self._selector.choose(candidates, now, avoided)
--- a/sloepond/core/forwarding/news.py
+++ b/sloepond/core/forwarding/news.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from sloepond.core.forwarding.backends import BackendDirectory
+from sloepond.core.forwarding.evacuations import Evacuations
 from sloepond.core.forwarding.peer_messages import Changes, KnownBackend
 from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.core.forwarding.route_table import RouteTable
@@ -36,9 +37,10 @@
 class News:
     """Builds and takes messages about changes."""
 
-    def __init__(self, routes: RouteTable, backends: BackendDirectory) -> None:
+    def __init__(self, routes: RouteTable, backends: BackendDirectory, evacuations: Evacuations) -> None:
         self._routes = routes
         self._backends = backends
+        self._evacuations = evacuations
         self._sent: collections.deque[SentRevision] = collections.deque()
         self._routes_taken_at = 0.0
 
@@ -62,7 +64,7 @@
             delta = self._routes.history.latest_to(self._routes.version)
         parts = tuple(self._parts(base, revision, now))
         if not parts:
-            parts = (Changes(self._routes.version, None, revision, revision, self._backends.changes.latest),)
+            parts = (self._changes(None, revision, revision),)
         return (msgspec.structs.replace(parts[0], route_delta=delta), *parts[1:])
 
     def answer(self, routes_version: int, revision: int, own_revision: int, now: float) -> list[Changes]:
@@ -88,6 +90,10 @@
         self.routes_taken(now)
         return True
 
+    def take_evacuated(self, changes: Changes, now: float) -> bool:
+        """Take the evacuated zones if they are newer; return whether they differ."""
+        return self._evacuations.take(changes.evacuated, now)
+
     def take_backends(self, changes: Changes, now: float) -> list[KnownBackend]:
         """Take changed back ends; return those that were news."""
         return [
@@ -114,14 +120,21 @@
             return
         known = [backend for name in names if (backend := self._backends.by_name(name)) is not None]
         known.sort(key=lambda backend: backend.revision)
-        latest = self._backends.changes.latest
         for begin in range(0, max(1, len(known)), MAXIMUM_BACKENDS):
             part = known[begin : begin + MAXIMUM_BACKENDS]
             rest = known[begin + MAXIMUM_BACKENDS :]
             end = max(base, min(revision, rest[0].revision - 1)) if rest else revision
             told = tuple(KnownBackend(backend.record(now), backend.departed_s(now)) for backend in part)
-            yield Changes(self._routes.version, None, base, end, latest, told)
+            yield self._changes(None, base, end, told)
             base = end
 
     def _about_routes(self, delta: RouteDelta | None, revision: int) -> Changes:
-        return Changes(self._routes.version, delta, revision, revision, self._backends.changes.latest)
+        return self._changes(delta, revision, revision)
+
+    def _changes(
+        self, delta: RouteDelta | None, base: int, revision: int, told: tuple[KnownBackend, ...] = ()
+    ) -> Changes:
+        """Return a message about back ends between two revisions; it always holds the evacuated zones."""
+        latest = self._backends.changes.latest
+        known = self._evacuations.known
+        return Changes(self._routes.version, delta, base, revision, latest, told, known)
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -11,6 +11,7 @@
 from sloepond.core.deadlines import NEVER
 from sloepond.core.forwarding.backend import Decision
 from sloepond.core.forwarding.backends import BackendDirectory
+from sloepond.core.forwarding.cold_openings import ColdLimit, ColdOpenings
 from sloepond.core.forwarding.commands import (
     CheckBackend,
     Command,
@@ -21,6 +22,7 @@
 )
 from sloepond.core.forwarding.counters import ForwardingCounters
 from sloepond.core.forwarding.dissemination import Dissemination
+from sloepond.core.forwarding.evacuations import Evacuations
 from sloepond.core.forwarding.events import (
     BackendChecked,
     BackendSuspected,
@@ -74,6 +76,7 @@
     :param seeds: addresses of balancers that may be up.
     :param places: where flows may go.
     :param capacity: share of a core it may use.
+    :param cold_limit: what bounds new flows of back ends that are slow from their start.
     """
 
     def __init__(
@@ -84,36 +87,51 @@
         seeds: tuple[str, ...] = (),
         places: PlaceRules = ANYWHERE,
         capacity: float = 1.0,
+        cold_limit: ColdLimit | None = None,
     ) -> None:
         self.counters = ForwardingCounters()
         self.routes = RouteTable(random_source)
         self.backends = BackendDirectory(places)
+        self.evacuations = Evacuations(self.routes, self.backends)
         self._followers = {
             Subject.ROUTES: Follower(Subject.ROUTES, random_source),
             Subject.BACKENDS: Follower(Subject.BACKENDS, random_source),
         }
         self._stall_guard = StallGuard(self._followers.values())
+        peers = PeerTable(ip, zone, seeds, random_source)
+        self._cold_openings = ColdOpenings(ip, peers, self.routes, cold_limit)
         self._forwarder = Forwarder(
-            zone, self.routes, self.backends, self._stall_guard, self.counters, random_source
+            zone,
+            self.routes,
+            self.backends,
+            self._stall_guard,
+            self._cold_openings,
+            self.counters,
+            random_source,
         )
         self._reachability = Reachability(self.backends, random_source)
-        peers = PeerTable(ip, zone, seeds, random_source)
         self._dissemination = Dissemination(
             ReaderElection(random_source.getrandbits(IDENTITY_BITS), capacity, random_source),
             self._followers,
-            News(self.routes, self.backends),
+            News(self.routes, self.backends, self.evacuations),
             peers,
             self.counters,
             random_source,
         )
         self._answers = StoreAnswers(
-            self.routes, self.backends, self._followers, self._dissemination, self.counters
+            self.routes,
+            self.backends,
+            self.evacuations,
+            self._followers,
+            self._dissemination,
+            self.counters,
         )
         self._exchange = PeerExchange(
             zone,
             peers,
             self.routes,
             self.backends,
+            self.evacuations,
             self._followers,
             self._dissemination,
             self._reachability,
@@ -182,6 +200,7 @@
         self._now = now
         self._housekeeping_at = now + HOUSEKEEPING_S
         self._forwarder.admission.start(now)
+        self._cold_openings.start(now)
         self._exchange.bootstrap.begin(now)
         self._ask_store()
         return self._finish()
@@ -336,6 +355,7 @@
             self._forwarder.observer.forget_resting(self._now)
             self._forwarder.observer.expire_requests(self._now)
             self._forwarder.admission.forget_admitted(self._now)
+            self._cold_openings.forget(self._now)
             self._forwarder.admission.balancers = self._exchange.balancers
             self._dissemination.forget(self._now)
 
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -16,6 +16,7 @@
 )
 from sloepond.core.forwarding.counters import ForwardingCounters
 from sloepond.core.forwarding.dissemination import Dissemination
+from sloepond.core.forwarding.evacuations import Evacuations
 from sloepond.core.forwarding.events import (
     KnowledgeReceived,
     PeerMessageReceived,
@@ -56,6 +57,7 @@
         peers: PeerTable,
         routes: RouteTable,
         backends: BackendDirectory,
+        evacuations: Evacuations,
         followers: dict[Subject, Follower],
         dissemination: Dissemination,
         reachability: Reachability,
@@ -68,6 +70,7 @@
         self._reachability = reachability
         self._routes = routes
         self._backends = backends
+        self._evacuations = evacuations
         self._followers = followers
         self._counters = counters
         self._random = random_source
@@ -167,6 +170,7 @@
             backends,
             self._dissemination.age(Subject.BACKENDS, now),
             self._followers[Subject.BACKENDS].revision,
+            self._evacuations.known,
         )
 
     def knowledge_received(self, event: KnowledgeReceived, now: float) -> None:
@@ -175,6 +179,7 @@
         is_first = not self._backends.is_listed
         is_newer = self._routes.take(knowledge.routes)
         added = sum(self._backends.take(known.record, known.departed_s, now) for known in knowledge.backends)
+        self._evacuations.take(knowledge.evacuated, now)
         if is_first:
             self._backends.list_begins(knowledge.revision)
             self._followers[Subject.BACKENDS].informed(knowledge.revision, now)
@@ -183,7 +188,8 @@
         self._counters.knowledge_taken += 1
         detail = (
             f"routes={knowledge.routes.version} newer={is_newer} routes_age_s={knowledge.routes_age_s:.2f} "
-            f"backends_added={added} backends_age_s={knowledge.backends_age_s:.2f}"
+            f"backends_added={added} backends_age_s={knowledge.backends_age_s:.2f} "
+            f"evacuated={','.join(self._evacuations.known.zones) or 'none'}"
         )
         self._commands.append(WriteLog(LogKind.KNOWLEDGE_TAKEN, event.ip, detail))
 
--- a/sloepond/core/forwarding/peer_messages.py
+++ b/sloepond/core/forwarding/peer_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sloepond.core.forwarding.backend_records import BackendRecord
+from sloepond.core.forwarding.evacuated_zones import EvacuatedZones
 from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.core.forwarding.routes import RouteConfiguration
 
@@ -59,6 +60,7 @@
     :ivar revision: revision up to which it holds them.
     :ivar changed_at: revision of the last change of a back end known to the sender.
     :ivar backends: changed back ends as they are now.
+    :ivar evacuated: all evacuated zones the sender knows of.
     """
 
     routes_version: int
@@ -67,6 +69,7 @@
     revision: int
     changed_at: int
     backends: tuple[KnownBackend, ...] = ()
+    evacuated: EvacuatedZones = EvacuatedZones()
 
 
 class Confirmation(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -135,6 +138,7 @@
     backends: tuple[KnownBackend, ...]
     backends_age_s: float
     revision: int = 0
+    evacuated: EvacuatedZones = EvacuatedZones()
 
 
 class KnowledgeAsked(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/sloepond/core/forwarding/peers.py
+++ b/sloepond/core/forwarding/peers.py
@@ -17,7 +17,7 @@
 HEARTBEAT_INTERVAL_S = 1.0
 FANOUT = 3
 """Peers that each heartbeat and each question goes to."""
-MAXIMUM_PEERS = 64
+MAXIMUM_PEERS = 128
 """Peers kept; of more, a random one makes room."""
 SHARED_PEERS = 4
 """Addresses carried by a heartbeat."""
@@ -64,6 +64,10 @@
     def __len__(self) -> int:
         return len(self._peers)
 
+    def others_staying(self) -> list[str]:
+        """Return the addresses of all peers kept that have not said that they leave."""
+        return [peer.ip for peer in self._peers.values() if not peer.is_leaving]
+
     def seeds_changed(self, seeds: Iterable[str]) -> None:
         """Take other seeds; peers known stay."""
         self._seeds = tuple(seed for seed in seeds if seed != self._ip)
--- a/sloepond/core/forwarding/route_delta.py
+++ b/sloepond/core/forwarding/route_delta.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sloepond.core.forwarding.routes import Route, RouteConfiguration
+from sloepond.core.forwarding.routes import ColdStart, Route, RouteConfiguration
 
 MAXIMUM_DELTAS = 32
 """Deltas kept for peers that are behind."""
@@ -21,6 +21,7 @@
     :ivar version: version it leads to.
     :ivar changed: routes that are new or differ.
     :ivar removed: keys of routes that are no more.
+    :ivar cold_starts: all of them if any has changed, else None.
     """
 
     base: int
@@ -28,15 +29,26 @@
     changed: tuple[Route, ...]
     removed: tuple[int, ...]
     idle_timeout_s: float
+    cold_starts: tuple[ColdStart, ...] | None = None
 
     @property
     def fits_datagram(self) -> bool:
         """Whether it is small enough to be sent."""
-        return len(self.changed) <= MAXIMUM_CHANGES and len(self.removed) <= 4 * MAXIMUM_CHANGES
+        cold_starts = len(self.cold_starts or ())
+        return len(self.changed) + cold_starts <= MAXIMUM_CHANGES and len(self.removed) <= 4 * MAXIMUM_CHANGES
 
 
-def difference(base: int, routes: Mapping[int, Route], newer: RouteConfiguration) -> RouteDelta:
-    """Return what leads from routes by key, of version `base`, to a newer version."""
+def difference(
+    base: int,
+    routes: Mapping[int, Route],
+    newer: RouteConfiguration,
+    cold_starts: tuple[ColdStart, ...] = (),
+) -> RouteDelta:
+    """Return what leads from a version to a newer one.
+
+    :param routes: of version `base`, by key.
+    :param cold_starts: of version `base`.
+    """
     kept = {route.key for route in newer.routes}
     return RouteDelta(
         base,
@@ -44,6 +56,7 @@
         tuple(route for route in newer.routes if routes.get(route.key) != route),
         tuple(key for key in routes if key not in kept),
         newer.idle_timeout_s,
+        newer.cold_starts if newer.cold_starts != cold_starts else None,
     )
 
 
--- a/sloepond/core/forwarding/route_table.py
+++ b/sloepond/core/forwarding/route_table.py
@@ -5,7 +5,7 @@
 import random
 
 from sloepond.core.forwarding.route_delta import RouteDelta, RouteHistory, difference
-from sloepond.core.forwarding.routes import Route, RouteConfiguration, WeightedTurns
+from sloepond.core.forwarding.routes import ColdStart, Route, RouteConfiguration, WeightedTurns
 
 
 class RouteTable:
@@ -20,6 +20,7 @@
         self._routes: dict[int, Route] = {}
         self._turns: dict[int, WeightedTurns] = {}
         self._idle_timeout_s = RouteConfiguration(0, ()).idle_timeout_s
+        self._cold_starts: tuple[ColdStart, ...] = ()
         self.version = 0
         self.history = RouteHistory()
 
@@ -29,13 +30,15 @@
     @property
     def in_force(self) -> RouteConfiguration:
         """The whole version in force."""
-        return RouteConfiguration(self.version, tuple(self._routes.values()), self._idle_timeout_s)
+        return RouteConfiguration(
+            self.version, tuple(self._routes.values()), self._idle_timeout_s, self._cold_starts
+        )
 
     def take(self, configuration: RouteConfiguration) -> bool:
         """Put a version in force if it is newer; return whether it is."""
         if configuration.version <= self.version:
             return False
-        self._apply(difference(self.version, self._routes, configuration))
+        self._apply(difference(self.version, self._routes, configuration, self._cold_starts))
         return True
 
     def take_delta(self, delta: RouteDelta) -> bool:
@@ -49,6 +52,10 @@
         """Return the route of an endpoint."""
         return self._routes.get(key)
 
+    def cold_start(self, service: str) -> ColdStart | None:
+        """Return how the back ends of a service are after a start, None where they are as ever."""
+        return next((cold for cold in self._cold_starts if cold.service == service), None)
+
     def turns(self, route: Route) -> WeightedTurns:
         """Return the turns of a route's services."""
         turns = self._turns.get(route.key)
@@ -68,4 +75,6 @@
             self._routes[route.key] = route
         self.version = delta.version
         self._idle_timeout_s = delta.idle_timeout_s
+        if delta.cold_starts is not None:
+            self._cold_starts = delta.cold_starts
         self.history.add(delta)
--- a/sloepond/core/forwarding/routes.py
+++ b/sloepond/core/forwarding/routes.py
@@ -17,6 +17,18 @@
     weight: float
 
 
+class ColdStart(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """How the back ends of a service are after a start.
+
+    :ivar lasts_s: how long they stay slow.
+    :ivar flows_per_s: new flows one of them bears meanwhile, in a second.
+    """
+
+    service: str
+    lasts_s: float
+    flows_per_s: float
+
+
 class Route(msgspec.Struct, frozen=True, array_like=True):
     """One route.
 
@@ -24,6 +36,7 @@
     :ivar repeatable: whether its requests may run more than once.
     :ivar timeout_s: how long its requests may take.
     :ivar priority: 0 is the highest.
+    :ivar regions: the only regions its flows may go to, none named for anywhere.
     """
 
     name: str
@@ -32,6 +45,7 @@
     repeatable: bool = True
     timeout_s: float = 2.0
     priority: int = 0
+    regions: tuple[str, ...] = ()
 
 
 class RouteConfiguration(msgspec.Struct, frozen=True, array_like=True):
@@ -39,11 +53,13 @@
 
     :ivar version: grows with each change.
     :ivar idle_timeout_s: rest after which a flow may be forgotten.
+    :ivar cold_starts: of the services whose back ends are slow after a start.
     """
 
     version: int
     routes: tuple[Route, ...]
     idle_timeout_s: float = 15.0
+    cold_starts: tuple[ColdStart, ...] = ()
 
 
 class WeightedTurns:
--- a/sloepond/core/forwarding/store_answers.py
+++ b/sloepond/core/forwarding/store_answers.py
@@ -7,6 +7,8 @@
 from sloepond.core.forwarding.commands import Command, LogKind, WriteLog
 from sloepond.core.forwarding.counters import ForwardingCounters
 from sloepond.core.forwarding.dissemination import Dissemination
+from sloepond.core.forwarding.evacuated_zones import EvacuatedZones, changed_zones
+from sloepond.core.forwarding.evacuations import Evacuations
 from sloepond.core.forwarding.events import (
     BackendsChanged,
     BackendsRead,
@@ -28,12 +30,14 @@
         self,
         routes: RouteTable,
         backends: BackendDirectory,
+        evacuations: Evacuations,
         followers: dict[Subject, Follower],
         dissemination: Dissemination,
         counters: ForwardingCounters,
     ) -> None:
         self._routes = routes
         self._backends = backends
+        self._evacuations = evacuations
         self._followers = followers
         self._dissemination = dissemination
         self._counters = counters
@@ -57,10 +61,12 @@
             self._log(LogKind.STORE_REGAINED, subject.name.lower(), f"failures={follower.failures}")
         if isinstance(event, RoutesRead):
             self._take_routes(event.configuration)
+            self._take_evacuated(EvacuatedZones(event.revision, tuple(sorted(event.evacuated))))
             follower.read(event.revision, self._now)
         elif isinstance(event, RoutesChanged):
             for configuration in event.configurations:
                 self._take_routes(configuration)
+            self._take_evacuated(changed_zones(self._evacuations.known, event.zones, event.revision))
             follower.watched(event.revision, self._now)
         elif isinstance(event, BackendsRead):
             revision = _sure_revision(event, follower)
@@ -86,6 +92,16 @@
         self._dissemination.routes_read(self._now)
         self._log(LogKind.ROUTES_IN_FORCE, str(configuration.version), f"routes={len(configuration.routes)}")
 
+    def _take_evacuated(self, evacuated: EvacuatedZones) -> None:
+        if not self._evacuations.take(evacuated, self._now):
+            return
+        self._dissemination.news_taken(self._now)
+        self._log(
+            LogKind.ZONES_EVACUATED,
+            ",".join(evacuated.zones) or "none",
+            f"from=store rev={evacuated.revision}",
+        )
+
     def _take_list(self, event: BackendsRead, revision: int) -> None:
         changed = self._backends.listed(event.records, revision, self._now)
         self._backends.list_begins(revision)
--- a/sloepond/platform/balancer.py
+++ b/sloepond/platform/balancer.py
@@ -4,8 +4,10 @@
 
 import random
 
+from sloepond.core.forwarding.cold_openings import ColdLimit
 from sloepond.core.forwarding.commands import LogKind, WriteLog
 from sloepond.core.forwarding.node import ForwardingNode
+from sloepond.core.forwarding.places import PlaceRules
 from sloepond.platform.packet_codec import EchoPacketCodec
 from sloepond.platform.settings import read_settings
 from sloepond.platform.store import PlatformStoreCodec
@@ -25,8 +27,15 @@
     :param signals: descriptor that receives the number of each signal as a byte.
     """
     sockets = BoundSockets(descriptors, signals)
+    slack_per_s = settings.cold_slack_per_s
     node = ForwardingNode(
-        settings.zone, random.Random(), settings.ip, settings.seeds, capacity=settings.capacity
+        settings.zone,
+        random.Random(),
+        settings.ip,
+        settings.seeds,
+        PlaceRules(regions=settings.regions),
+        settings.capacity,
+        None if slack_per_s is None else ColdLimit(settings.cold_factor, slack_per_s),
     )
     logs = LogWriter(node.counters)
     logs.write(WriteLog(LogKind.STARTED, settings.name, f"zone={settings.zone} store={settings.store}"))
--- a/sloepond/platform/documents.py
+++ b/sloepond/platform/documents.py
@@ -9,7 +9,7 @@
 
 from sloepond.core.forwarding.backend_records import BackendRecord, BackendState
 from sloepond.core.forwarding.packets import PORT_BITS
-from sloepond.core.forwarding.routes import Route, RouteConfiguration, Share
+from sloepond.core.forwarding.routes import ColdStart, Route, RouteConfiguration, Share
 
 STATE_READY = "ready"
 KIND_UNSAFE = "unsafe"
@@ -34,6 +34,15 @@
     kind: str = ""
     timeout_ms: float = 2000.0
     priority: int = 0
+    allowed_regions: tuple[str, ...] = ()
+
+
+class ServiceDocument(msgspec.Struct):
+    """One service of the configuration."""
+
+    name: str
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Limits(msgspec.Struct):
@@ -47,6 +56,7 @@
 
     version: int
     routes: tuple[RouteDocument, ...] = ()
+    services: tuple[ServiceDocument, ...] = ()
     limits: Limits = msgspec.field(default_factory=Limits)
 
 
@@ -70,13 +80,6 @@
     gone: bool = False
 
 
-class KeyAnswer(msgspec.Struct):
-    """Answer to a read of one key."""
-
-    at: int
-    value: str = ""
-
-
 class RangeAnswer(msgspec.Struct):
     """Answer to a read of a prefix."""
 
@@ -106,6 +109,7 @@
         document.version,
         tuple(_route(route) for route in document.routes),
         document.limits.idle_timeout_ms / 1000.0,
+        tuple(_cold_start(each) for each in document.services if each.cold_start_s > 0),
     )
 
 
@@ -142,6 +146,10 @@
     return int(digits or "0", 16) & (1 << 64) - 1
 
 
+def _cold_start(document: ServiceDocument) -> ColdStart:
+    return ColdStart(document.name, document.cold_start_s, document.cold_per_s)
+
+
 def _route(document: RouteDocument) -> Route:
     address = int.from_bytes(socket.inet_aton(document.host), "big")
     key = address << PORT_BITS | int(document.path_prefix.strip("/"))
@@ -153,4 +161,5 @@
         repeatable=document.kind != KIND_UNSAFE,
         timeout_s=document.timeout_ms / 1000.0,
         priority=document.priority,
+        regions=document.allowed_regions,
     )
--- a/sloepond/platform/settings.py
+++ b/sloepond/platform/settings.py
@@ -8,6 +8,7 @@
 
 FILE_VARIABLE = "SLOEPOND_NODE_FILE"
 DEFAULT_FILE = "/etc/sloepond/node.conf"
+ZONES = "zones."
 METRICS_PORT = 9464
 """Port of the figures; `deploy/system.toml` names it too."""
 
@@ -42,15 +43,30 @@
         peer_port=first_port,
         seeds=_seeds(fields),
         capacity=_capacity(fields),
+        regions=_regions(fields),
+        cold_factor=_number(fields, "bounds.cold_over", 1.0) or 1.0,
+        cold_slack_per_s=_number(fields, "bounds.cold_slack", None),
     )
 
 
-def _capacity(fields: dict[str, str]) -> float:
-    """Return the share of a core, 1.0 where it is not told."""
+def _regions(fields: dict[str, str]) -> dict[str, str]:
+    """Return the region of each zone."""
+    return {name.removeprefix(ZONES): fields[name] for name in fields if name.startswith(ZONES)}
+
+
+def _number(fields: dict[str, str], name: str, default: float | None) -> float | None:
+    """Return a number, a default where it is not told."""
     try:
-        return float(fields["limits.cpu_share"]) * float(fields.get("limits.cores", "1"))
+        return float(fields[name])
     except (KeyError, ValueError):
-        return 1.0
+        return default
+
+
+def _capacity(fields: dict[str, str]) -> float:
+    """Return the share of a core, 1.0 where it is not told."""
+    share = _number(fields, "limits.cpu_share", None)
+    cores = _number(fields, "limits.cores", 1.0)
+    return share * cores if share and cores else 1.0
 
 
 def _first_port(text: str) -> int:
--- a/sloepond/platform/store.py
+++ b/sloepond/platform/store.py
@@ -6,6 +6,7 @@
 
 from sloepond.core.forwarding.backend_records import BackendRecord
 from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
+from sloepond.core.forwarding.evacuated_zones import ZoneChange
 from sloepond.core.forwarding.events import (
     BackendsChanged,
     BackendsRead,
@@ -19,7 +20,6 @@
 )
 from sloepond.platform.documents import (
     Item,
-    KeyAnswer,
     RangeAnswer,
     WatchAnswer,
     backend_name,
@@ -29,12 +29,14 @@
 from sloepond.runtime.forwarding.drivers import ReadPage, StoreCodec
 
 CONFIGURATION_KEY = "op/config"
+EVACUATED_PREFIX = "op/evacuate/"
+OPERATOR_PREFIX = "op/"
 SERVERS_PREFIX = "servers/"
 NOTHING_PREFIX = "op/config/"
+_PREFIXES = {Subject.ROUTES: OPERATOR_PREFIX, Subject.BACKENDS: SERVERS_PREFIX}
 UNRESERVED = frozenset(b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/")
 """Bytes that stand for themselves in a query: those of RFC 3986, and the slash."""
 _UNDECODABLE = (msgspec.MsgspecError, ValueError, OSError)
-_KEY = msgspec.json.Decoder(KeyAnswer)
 _RANGE = msgspec.json.Decoder(RangeAnswer)
 _WATCH = msgspec.json.Decoder(WatchAnswer)
 
@@ -43,12 +45,10 @@
     """The platform's store."""
 
     def read_target(self, command: ReadSubject, page: str) -> str:
-        """Return the target of a GET that reads the configuration or a page of targets."""
+        """Return the target of a GET that reads a page of what operators or targets have written."""
         stale = "&stale=1" if command.may_be_stale else ""
-        if command.subject is Subject.ROUTES:
-            return f"/api/kv-key?key={quote(CONFIGURATION_KEY)}{stale}"
         after = f"&after={quote(page)}" if page else ""
-        return f"/api/kv-range?path_prefix={quote(SERVERS_PREFIX)}{after}{stale}"
+        return f"/api/kv-range?path_prefix={quote(_PREFIXES[command.subject])}{after}{stale}"
 
     def probe_target(self) -> str:
         """Return the target of a stale read of a prefix under which nothing stands."""
@@ -56,9 +56,9 @@
 
     def watch_target(self, command: WatchSubject) -> str:
         """Return the target of a GET that waits for changes."""
-        prefix = CONFIGURATION_KEY if command.subject is Subject.ROUTES else SERVERS_PREFIX
+        prefix = quote(_PREFIXES[command.subject])
         wait_ms = int(command.wait_s * 1000)
-        return f"/api/kv-watch?path_prefix={quote(prefix)}&after={command.after}&wait_ms={wait_ms}"
+        return f"/api/kv-watch?path_prefix={prefix}&after={command.after}&wait_ms={wait_ms}"
 
     def decode_page(self, subject: Subject, body: bytes) -> ReadPage:
         """Return what a read has brought."""
@@ -84,20 +84,35 @@
 
 
 def _read_routes(body: bytes) -> ReadPage:
-    answer = _KEY.decode(body)
-    return ReadPage(RoutesRead(answer.at, decode_configuration(answer.value)))
+    answer = _RANGE.decode(body)
+    written = [item for item in answer.items if item.key == CONFIGURATION_KEY]
+    configuration = decode_configuration(written[0].value) if written else None
+    zones = (item.key.removeprefix(EVACUATED_PREFIX) for item in answer.items if _is_evacuation(item))
+    return ReadPage(RoutesRead(answer.at, configuration, tuple(zones)), _next_page(answer))
 
 
 def _read_servers(body: bytes) -> ReadPage:
     answer = _RANGE.decode(body)
     records = tuple(decode_server(item.key, item.value, item.rev) for item in answer.items)
-    next_page = answer.items[-1].key if answer.more and answer.items else ""
-    return ReadPage(BackendsRead(answer.at, records), next_page)
+    return ReadPage(BackendsRead(answer.at, records), _next_page(answer))
+
+
+def _next_page(answer: RangeAnswer) -> str:
+    return answer.items[-1].key if answer.more and answer.items else ""
+
+
+def _is_evacuation(item: Item) -> bool:
+    return item.key.startswith(EVACUATED_PREFIX)
 
 
 def _changed_routes(answer: WatchAnswer) -> RoutesChanged:
     written = (item for item in answer.events if item.key == CONFIGURATION_KEY and item.value)
-    return RoutesChanged(answer.at, tuple(decode_configuration(item.value) for item in written))
+    zones = (
+        ZoneChange(item.key.removeprefix(EVACUATED_PREFIX), item.rev, not item.gone)
+        for item in answer.events
+        if _is_evacuation(item)
+    )
+    return RoutesChanged(answer.at, tuple(decode_configuration(item.value) for item in written), tuple(zones))
 
 
 def _change(item: Item) -> BackendRecord | DepartedBackend:
--- a/sloepond/runtime/forwarding/process.py
+++ b/sloepond/runtime/forwarding/process.py
@@ -23,10 +23,14 @@
         other, 0 for none.
     :ivar seeds: IP addresses of balancers that may be up.
     :ivar capacity: share of a core this process may use.
+    :ivar regions: region of each zone.
+    :ivar cold_factor: times what a back end is said to bear just after its start, it may be given.
+    :ivar cold_slack_per_s: new flows a second added to that, None where nothing limits them.
     """
 
     __slots__ = (
         "name", "zone", "ip", "edge", "readiness", "store", "metrics", "peer_port", "seeds", "capacity",
+        "regions", "cold_factor", "cold_slack_per_s",
     )  # fmt: skip
 
     def __init__(
@@ -42,6 +46,9 @@
         peer_port: int = 0,
         seeds: tuple[str, ...] = (),
         capacity: float = 1.0,
+        regions: dict[str, str] | None = None,
+        cold_factor: float = 1.0,
+        cold_slack_per_s: float | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -53,6 +60,9 @@
         self.peer_port = peer_port
         self.seeds = seeds
         self.capacity = capacity
+        self.regions = regions or {}
+        self.cold_factor = cold_factor
+        self.cold_slack_per_s = cold_slack_per_s
 
     def differences(self, other: ForwardingSettings) -> tuple[str, ...]:
         """Return the names of the fields that are not alike."""
--- a/sloepond/runtime/forwarding/store_pages.py
+++ b/sloepond/runtime/forwarding/store_pages.py
@@ -12,6 +12,7 @@
     StoreFailure,
     Subject,
 )
+from sloepond.core.forwarding.routes import RouteConfiguration
 from sloepond.runtime.forwarding.drivers import StoreCodec
 from sloepond.runtime.forwarding.http_exchange import HttpFailure, HttpResponse
 
@@ -53,6 +54,9 @@
         self._codec = codec
         self._retries = retries
         self._records: list[BackendRecord] = []
+        self._routes: RouteConfiguration | None = None
+        self._evacuated: list[str] = []
+        self._pages = 0
         self._revision = 0
         self.target = codec.read_target(command, "")
         self.wait_s = 0.0
@@ -67,7 +71,7 @@
         is_absent = isinstance(answer, HttpResponse) and answer.status == NOT_FOUND
         if is_absent and subject is Subject.ROUTES:
             return RoutesRead(0, None)
-        if self._records and self._retries > 0:
+        if self._pages and self._retries > 0:
             self._retries -= 1
             self.wait_s = min(LONGEST_WAIT_S, max(FIRST_WAIT_S, 2.0 * self.wait_s))
             return None
@@ -75,11 +79,19 @@
 
     def _page(self, body: bytes) -> StoreEvent | None:
         page = self._codec.decode_page(self._command.subject, body)
-        if not isinstance(page.event, BackendsRead):
-            return page.event
-        self._records.extend(page.event.records)
-        self._revision = self._revision or page.event.revision
+        event = page.event
+        if isinstance(event, BackendsRead):
+            self._records.extend(event.records)
+        elif isinstance(event, RoutesRead):
+            self._routes = event.configuration or self._routes
+            self._evacuated.extend(event.evacuated)
+        else:
+            return event
+        self._pages += 1
+        self._revision = self._revision or event.revision
         if page.next_page:
             self.target = self._codec.read_target(self._command, page.next_page)
             return None
-        return BackendsRead(self._revision, tuple(self._records))
+        if isinstance(event, BackendsRead):
+            return BackendsRead(self._revision, tuple(self._records))
+        return RoutesRead(self._revision, self._routes, tuple(self._evacuated))
