--- a/features/cli/operator_commands.feature
+++ b/features/cli/operator_commands.feature
@@ -84,6 +84,32 @@
     Then the cli ends with code 0 and prints "generation 2 written: 0 added, 1 changed, 0 removed"
     And the cli platform has "playback-3" as its only draining back end
 
+  Scenario: The cli takes a drain of a back end back
+    Given a cli platform stand-in
+    When the cli runs "apply {examples}/accra --platform {platform}"
+    And the cli runs "drain playback-3 --platform {platform}"
+    And the cli runs "undrain playback-3 --platform {platform}"
+    Then the cli ends with code 0 and prints "generation 3 written: 0 added, 1 changed, 0 removed"
+    And the cli platform has no draining back end and no evacuated zone
+
+  Scenario: The cli evacuates a zone and takes it back
+    Given a cli platform stand-in
+    When the cli runs "apply {examples}/accra --platform {platform}"
+    And the cli runs "drain zone accra --platform {platform}"
+    Then the cli ends with code 0 and prints "generation 2 written: 0 added, 1 changed, 0 removed"
+    And the cli platform gives no back end of zone "accra" new flows
+    When the cli runs "undrain zone accra --platform {platform}"
+    Then the cli ends with code 0 and prints "generation 3 written: 0 added, 1 changed, 0 removed"
+    And the cli platform has no draining back end and no evacuated zone
+
+  Scenario: The cli says which zone it does not know, and how a zone is named
+    Given a cli platform stand-in
+    When the cli runs "apply {examples}/accra --platform {platform}"
+    And the cli runs "drain zone nowhere --platform {platform}"
+    Then the cli ends with code 1 and reports "no zone 'nowhere'"
+    When the cli runs "drain playback-3 playback-4 --platform {platform}"
+    Then the cli ends with code 2 and reports "name a back end, or zone and its name"
+
   Scenario: The cli does not drain what no flow could do without
     Given a cli platform stand-in
     When the cli runs "apply {examples}/accra --platform {platform}"
--- a/features/steps/cli_race_steps.py
+++ b/features/steps/cli_race_steps.py
@@ -7,12 +7,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sloepond.cli.configuration_update import drain_backend, load_declared
+from sloepond.cli.configuration_update import load_declared, set_backend_state
 from sloepond.cli.exit_codes import REFUSED
 from sloepond.cli.failures import CommandFailure
 from sloepond.cli.platform_access import Written
 from sloepond.resources.compiled import make_snapshot
-from sloepond.resources.model import Backend
+from sloepond.resources.model import Backend, BackendState
 
 EXAMPLE = Path(__file__).resolve().parents[2] / "examples" / "accra"
 
@@ -62,7 +62,7 @@
     @given(st.integers(1, 3), st.sampled_from(["playback-2", "archive-1"]))
     def check(reads_before_race, drained):
         platform = RacingPlatform(resources, reads_before_race)
-        result = drain_backend(platform, drained)
+        result = set_backend_state(platform, drained, BackendState.DRAINING)
         if platform.other is not None:
             assert weight_of(platform.snapshot, "playback-1") == 7
             assert isinstance(result, CommandFailure)
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -31,7 +31,7 @@
 from sloepond.cli.main import run
 from sloepond.core.status import PeerReport
 from sloepond.resources.compiled import CompiledConfiguration
-from sloepond.resources.model import Backend, BackendState
+from sloepond.resources.model import Backend, BackendState, Zone, ZoneState
 from sloepond.resources.validation import validate_values
 from sloepond.standins.http import json_response, make_application, serve_http
 from sloepond.standins.platform import ModeRequest, PlatformMode, PlatformService, PlatformState
@@ -250,6 +250,22 @@
     assert (draining, len(backends)) == ([name], 10)
 
 
+@then("the cli platform has no draining back end and no evacuated zone")
+def nothing_drained(context):
+    resources = context.platform.latest.resources
+    states = [item.spec.state for item in resources if isinstance(item, Backend | Zone)]
+    assert set(states) == {BackendState.ACTIVE, ZoneState.ACTIVE}
+
+
+@then('the cli platform gives no back end of zone "{zone}" new flows')
+def zone_evacuated(context, zone):
+    compiled = CompiledConfiguration(context.platform.latest)
+    inside = [item for item in compiled.backends_by_name.values() if item.location.zone == zone]
+    assert len(inside) == 10
+    assert not any(item.takes_new_flows for item in inside)
+    assert not any(service.placeable for service in compiled.services_by_name.values())
+
+
 @then('the cli printed the {count:d} resources in force as "{output}"')
 def printed_resources(context, count, output):
     if output == "json":
@@ -287,7 +303,7 @@
     ]
     options += [["--api", url], ["--platform", url], ["--platform=http://["], [f"--api={url}/\n"]]
     options += [[word] for word in ("backend", "missing.yaml", str(EXAMPLES / "accra"))]
-    commands = st.sampled_from(["check", "apply", "get", "watch", "status", "drain", "version"])
+    commands = st.sampled_from(["check", "apply", "get", "watch", "status", "drain", "undrain", "version"])
     text = st.text(st.characters(exclude_characters="./"), min_size=1, max_size=3)  # names no directory
     words = st.lists(st.sampled_from(options) | text.map(lambda word: [word]), max_size=4)
     codes = set()
--- a/sloepond/api/resource_status.py
+++ b/sloepond/api/resource_status.py
@@ -28,6 +28,8 @@
     backend = configuration.backends_by_name[resource.metadata.name]
     if not backend.permitted:
         return "takes no new flows: its hall is not permitted"
+    if backend.location.evacuated:
+        return "takes no new flows: its zone is evacuated"
     if backend.state is BackendState.DRAINING:
         return "takes no new flows: draining"
     if backend.weight == 0:
--- a/sloepond/cli/configuration_update.py
+++ b/sloepond/cli/configuration_update.py
@@ -15,7 +15,14 @@
 from sloepond.cli.platform_access import PlatformAccess
 from sloepond.cli.rollout import InForce, wait_in_force
 from sloepond.resources.loading import load_resources
-from sloepond.resources.model import Backend, BackendState, ConfigurationSnapshot, Resource
+from sloepond.resources.model import (
+    Backend,
+    BackendState,
+    ConfigurationSnapshot,
+    Resource,
+    Zone,
+    ZoneState,
+)
 from sloepond.resources.validation import validate_snapshot
 
 
@@ -36,6 +43,10 @@
         return f"generation {self.generation} written: {self.changes}"
 
 
+DONE = {BackendState.DRAINING: "drained", BackendState.ACTIVE: "undrained"}
+"""What setting a state is called."""
+
+
 def load_declared(files: Sequence[Path]) -> tuple[Resource, ...] | CommandFailure:
     """Return the resources of `files`, or all findings."""
     if not files:
@@ -73,17 +84,35 @@
     return ConfigurationUpdate(written.generation, changes, time.monotonic())
 
 
-def drain_backend(platform: PlatformAccess, name: str) -> ConfigurationUpdate | CommandFailure:
-    """Set the state of the back end `name` to draining, leaving all else as it is."""
+def set_backend_state(
+    platform: PlatformAccess, name: str, state: BackendState
+) -> ConfigurationUpdate | CommandFailure:
+    """Set the state of the back end `name`, leaving all else as it is."""
     present = platform.read()
     if isinstance(present, CommandFailure):
         return present
-    wanted = [_draining(resource, name) for resource in present.resources]
+    wanted = [_with_backend_state(resource, name, state) for resource in present.resources]
     if not any(_is_backend(resource, name) for resource in wanted):
         return CommandFailure(REFUSED, f"no back end {name!r} in generation {present.generation}")
     findings = validate_snapshot(wanted)
     if findings:
-        return CommandFailure(REFUSED, f"{name} cannot be drained: {_count(len(findings))}", findings)
+        return CommandFailure(REFUSED, f"{name} cannot be {DONE[state]}: {_count(len(findings))}", findings)
+    return _write_over(platform, present, wanted)
+
+
+def set_zone_state(
+    platform: PlatformAccess, name: str, state: ZoneState
+) -> ConfigurationUpdate | CommandFailure:
+    """Set the state of the zone `name`, leaving all else as it is.
+
+    A zone is evacuated also where a service then has no back end left: its new flows are refused.
+    """
+    present = platform.read()
+    if isinstance(present, CommandFailure):
+        return present
+    wanted = [_with_zone_state(resource, name, state) for resource in present.resources]
+    if not any(isinstance(resource, Zone) and resource.metadata.name == name for resource in wanted):
+        return CommandFailure(REFUSED, f"no zone {name!r} in generation {present.generation}")
     return _write_over(platform, present, wanted)
 
 
@@ -98,11 +127,16 @@
     return isinstance(resource, Backend) and resource.metadata.name == name
 
 
-def _draining(resource: Resource, name: str) -> Resource:
+def _with_backend_state(resource: Resource, name: str, state: BackendState) -> Resource:
     if not isinstance(resource, Backend) or resource.metadata.name != name:
         return resource
-    spec = msgspec.structs.replace(resource.spec, state=BackendState.DRAINING)
-    return msgspec.structs.replace(resource, spec=spec)
+    return msgspec.structs.replace(resource, spec=msgspec.structs.replace(resource.spec, state=state))
+
+
+def _with_zone_state(resource: Resource, name: str, state: ZoneState) -> Resource:
+    if not isinstance(resource, Zone) or resource.metadata.name != name:
+        return resource
+    return msgspec.structs.replace(resource, spec=msgspec.structs.replace(resource.spec, state=state))
 
 
 def _count(findings: int) -> str:
--- a/sloepond/cli/main.py
+++ b/sloepond/cli/main.py
@@ -15,9 +15,10 @@
 import msgspec
 
 from sloepond import __version__
+from sloepond.cli.draining import drain, undrain
 from sloepond.cli.endpoints import ENVIRONMENT_HELP, ApiUrls, merge_api_options, parse_api_urls
 from sloepond.cli.exit_codes import EXIT_CODES_HELP, OK
-from sloepond.cli.operator import apply, check, drain, get, status, version, watch
+from sloepond.cli.operator import apply, check, get, status, version, watch
 from sloepond.cli.repeated_options import merge_repeated
 
 CommandFunction = Callable[..., Any]
@@ -43,7 +44,7 @@
 
 
 OPERATOR_COMMANDS: CommandTree = {
-    function.__name__: function for function in (check, apply, get, watch, status, drain, version)
+    function.__name__: function for function in (check, apply, get, watch, status, drain, undrain, version)
 }
 DAEMON_COMMANDS = {"balancer": CommandReference("balancer", "balancer")}
 """Commands that stand beside the operators' commands, in no group."""
--- a/sloepond/cli/operator.py
+++ b/sloepond/cli/operator.py
@@ -7,27 +7,18 @@
 import msgspec
 
 from sloepond import __version__
+from sloepond.cli.access_options import finish, open_balancers, open_platform
 from sloepond.cli.balancer_access import BalancerAccess
 from sloepond.cli.configuration_update import (
-    ConfigurationUpdate,
-    drain_backend,
     load_declared,
     replace_configuration,
-    wait_for_update,
 )
 from sloepond.cli.endpoints import (
     ApiUrls,
-    resolve_api,
-    resolve_ca_file,
-    resolve_platform,
-    resolve_platform_token,
-    resolve_token,
 )
 from sloepond.cli.exit_codes import BAD_INPUT, OK, REFUSED, UNREACHABLE
 from sloepond.cli.failures import CommandFailure, report_failure
 from sloepond.cli.fleet import combine
-from sloepond.cli.http_access import HttpAccess, open_http
-from sloepond.cli.platform_access import PlatformAccess
 from sloepond.cli.rendering import OutputFormat, print_findings, print_fleet, print_resources
 from sloepond.resources.model import Kind, Resource
 
@@ -75,14 +66,14 @@
     resources = load_declared(files)
     if isinstance(resources, CommandFailure):
         return report_failure(resources)
-    balancers = _open_balancers(api, token) if wait else None
+    balancers = open_balancers(api, token) if wait else None
     if isinstance(balancers, CommandFailure):
         return report_failure(balancers)
-    access = _open_platform(platform)
+    access = open_platform(platform)
     if isinstance(access, CommandFailure):
         return report_failure(access)
     update = replace_configuration(access, resources)
-    return _finish(update, balancers, timeout)
+    return finish(update, balancers, timeout)
 
 
 def get(
@@ -104,7 +95,7 @@
     selected = _parse_kind(kind)
     if isinstance(selected, CommandFailure):
         return report_failure(selected)
-    balancers = _open_balancers(api, token)
+    balancers = open_balancers(api, token)
     if isinstance(balancers, CommandFailure):
         return report_failure(balancers)
     resources = _read_in_force(balancers, selected, name)
@@ -127,7 +118,7 @@
     selected = _parse_kind(kind)
     if isinstance(selected, CommandFailure):
         return report_failure(selected)
-    balancers = _open_balancers(api, token)
+    balancers = open_balancers(api, token)
     if isinstance(balancers, CommandFailure):
         return report_failure(balancers)
     for event in balancers.watch(selected, since):
@@ -146,7 +137,7 @@
     :param api: URL of a balancer's API, repeatable; one of each cell at least (environment: SLOEPOND_API)
     :param token: bearer token of the balancers' API (environment: SLOEPOND_TOKEN)
     """
-    balancers = _open_balancers(api, token)
+    balancers = open_balancers(api, token)
     if isinstance(balancers, CommandFailure):
         return report_failure(balancers)
     answer = balancers.statuses()
@@ -158,64 +149,12 @@
     return OK
 
 
-def drain(
-    backend: str,
-    *,
-    platform: str | None = None,
-    wait: bool = False,
-    timeout: float = DEFAULT_TIMEOUT_S,
-    api: ApiUrls | None = None,
-    token: str | None = None,
-) -> int:
-    """Set a back end's state to draining in the platform's configuration.
-
-    It gets no new flows; its established flows go on.  Files in version control
-    are not changed: a later `apply` of them sets the state they declare.
-
-    :param backend: name of the back end
-    :param platform: URL of the platform (environment: SLOEPOND_PLATFORM)
-    :param wait: wait until the generation is in force on every live balancer
-    :param timeout: seconds to wait before exit code 3
-    :param api: URL of a balancer's API, repeatable; one of each cell at least (environment: SLOEPOND_API)
-    :param token: bearer token of the balancers' API (environment: SLOEPOND_TOKEN)
-    """
-    balancers = _open_balancers(api, token) if wait else None
-    if isinstance(balancers, CommandFailure):
-        return report_failure(balancers)
-    access = _open_platform(platform)
-    if isinstance(access, CommandFailure):
-        return report_failure(access)
-    update = drain_backend(access, backend)
-    return _finish(update, balancers, timeout)
-
-
 def version() -> int:
     """Print the version."""
     print(f"sloepond {__version__}")
     return OK
 
 
-def _open_platform(option: str | None) -> PlatformAccess | CommandFailure:
-    url = resolve_platform(option)
-    if isinstance(url, CommandFailure):
-        return url
-    http = open_http(url, resolve_platform_token(), resolve_ca_file())
-    return http if isinstance(http, CommandFailure) else PlatformAccess(http)
-
-
-def _open_balancers(option: ApiUrls | None, token: str | None) -> BalancerAccess | CommandFailure:
-    urls = resolve_api(option)
-    if isinstance(urls, CommandFailure):
-        return urls
-    servers: list[HttpAccess] = []
-    for url in urls:
-        http = open_http(url, resolve_token(token), resolve_ca_file())
-        if isinstance(http, CommandFailure):
-            return http
-        servers.append(http)
-    return BalancerAccess(servers)
-
-
 def _parse_kind(text: str) -> Kind | None | CommandFailure:
     """Return the kind meant by `backend`, `backends` or `Backend`; None for all."""
     lowered = text.lower()
@@ -238,19 +177,3 @@
         return CommandFailure(BAD_INPUT, "a name needs one kind")
     resource = balancers.resource(kind, name)
     return resource if isinstance(resource, CommandFailure) else (resource,)
-
-
-def _finish(
-    update: ConfigurationUpdate | CommandFailure, balancers: BalancerAccess | None, timeout_s: float
-) -> int:
-    """Print what was written and, where balancers are given, wait for it."""
-    if isinstance(update, CommandFailure):
-        return report_failure(update)
-    print(update)
-    if balancers is None:
-        return OK
-    result = wait_for_update(balancers, update, timeout_s)
-    if isinstance(result, CommandFailure):
-        return report_failure(result)
-    print(result)
-    return OK
--- a/sloepond/cli/rendering.py
+++ b/sloepond/cli/rendering.py
@@ -28,7 +28,7 @@
 
 COLUMNS: dict[Kind, tuple[str, ...]] = {
     Kind.REGION: ("region",),
-    Kind.ZONE: ("zone", "region"),
+    Kind.ZONE: ("zone", "region", "state"),
     Kind.HALL: ("hall", "zone"),
     Kind.SERVICE: ("service", "address", "permitted", "denied", "repeatable"),
     Kind.BACKEND: ("back end", "service", "hall", "address", "slots", "connections", "weight", "state"),
@@ -125,7 +125,7 @@
     name = resource.metadata.name
     match resource:
         case Zone(spec=spec):
-            return (name, spec.region)
+            return (name, spec.region, str(spec.state))
         case Hall(spec=spec):
             return (name, spec.zone)
         case Service():
--- a/sloepond/resources/compiled.py
+++ b/sloepond/resources/compiled.py
@@ -32,6 +32,7 @@
     Resource,
     Service,
     Zone,
+    ZoneState,
 )
 from sloepond.resources.slices import Slices, blocks, finished
 from sloepond.resources.sorted_items import SortedItems
@@ -268,17 +269,16 @@
 
     Halls whose zone is not declared are left out; validation reports them.
     """
-    regions = {
-        resource.metadata.name: resource.spec.region for resource in resources if isinstance(resource, Zone)
-    }
+    zones = {resource.metadata.name: resource.spec for resource in resources if isinstance(resource, Zone)}
     locations: dict[str, Location] = {}
     for resource in resources:
         if not isinstance(resource, Hall):
             continue
-        region = regions.get(resource.spec.zone)
-        if region is not None:
+        zone = zones.get(resource.spec.zone)
+        if zone is not None:
             name = resource.metadata.name
-            locations[name] = Location(region=region, zone=resource.spec.zone, hall=name)
+            is_evacuated = zone.state is ZoneState.EVACUATED
+            locations[name] = Location(zone.region, resource.spec.zone, name, is_evacuated)
     return locations
 
 
--- a/sloepond/resources/compiled_items.py
+++ b/sloepond/resources/compiled_items.py
@@ -28,7 +28,8 @@
     @property
     def takes_new_flows(self) -> bool:
         """Whether declared state and place let this back end take new flows."""
-        return self.permitted and self.state is BackendState.ACTIVE and self.weight > 0
+        may_take = self.permitted and not self.location.evacuated
+        return may_take and self.state is BackendState.ACTIVE and self.weight > 0
 
 
 class CompiledService(msgspec.Struct, frozen=True, gc=False):
--- a/sloepond/resources/model.py
+++ b/sloepond/resources/model.py
@@ -40,12 +40,21 @@
     DRAINING = "draining"
 
 
-class Location(msgspec.Struct, frozen=True, gc=False):
+class ZoneState(enum.StrEnum):
+    """Whether the back ends of a zone may be given new flows."""
+
+    ACTIVE = "active"
+    EVACUATED = "evacuated"
+
+
+class Location(msgspec.Struct, frozen=True, gc=False, omit_defaults=True):
     """Where a machine stands: a hall, in a zone, in a region."""
 
     region: str
     zone: str
     hall: str
+    evacuated: bool = False
+    """Whether nothing new may go to the zone."""
 
 
 class PlaceSelector(msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True, omit_defaults=True):
@@ -75,10 +84,11 @@
     """A region has no fields of its own."""
 
 
-class ZoneSpec(msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True):
+class ZoneSpec(msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True, omit_defaults=True):
     """A zone belongs to one region."""
 
     region: str
+    state: ZoneState = ZoneState.ACTIVE
 
 
 class HallSpec(msgspec.Struct, frozen=True, gc=False, forbid_unknown_fields=True):
