Connections to the store and to peers notice silence after two seconds

Cause: reset_conns silent: the watch of a reader stays dead until its own end, 25.7 s; where all readers lose theirs at once a change of the routes is missed.

Change: TCP keep-alive, one second of rest and one for the answer: no call, no bytes of ours. Checks of back ends and probes end by bounds of their own already (0.16 s, 0.7 s).

With the line taken out the scenario fails.

--- a/features/forwarding/store_client.feature
+++ b/features/forwarding/store_client.feature
@@ -25,3 +25,8 @@
     And http property: bytes that are no response are an error or wait for more, never an answer
     And http property: a request is read as h11 reads it, in whatever pieces it comes
     And http property: a text is quoted as the standard library quotes it
+
+  Scenario: A connection that falls silent while a watch waits is noticed after two seconds
+    Given a listening address that never answers
+    When forwarding watches the store at that address
+    Then its connection asks after 1 second of rest and is given up 1 second later
--- a/features/steps/forwarding_client_steps.py
+++ b/features/steps/forwarding_client_steps.py
@@ -4,18 +4,20 @@
 
 import base64
 import json
+import socket
 
 import h11
-from behave import then, when
+from behave import given, then, when
 from forwarding_loop_model import SimulatedLoop, SimulatedStream
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
 
 from sloepond.core.forwarding.backend_records import Endpoint
-from sloepond.core.forwarding.commands import ReadSubject
+from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
 from sloepond.core.forwarding.events import RoutesRead, StoreCallFailed, StoreFailure, Subject
 from sloepond.platform.store import PlatformStoreCodec, quote
+from sloepond.runtime.forwarding.event_loop import EventLoop
 from sloepond.runtime.forwarding.http_client import LONGEST_CALL_S, HttpClient, HttpConnection
 from sloepond.runtime.forwarding.http_exchange import HttpExchange, HttpFailure, HttpResponse
 from sloepond.runtime.forwarding.http_message import BodyReader, HttpSyntaxError, take_head
@@ -264,3 +266,46 @@
         assert quote(text) == urllib.parse.quote(text)
 
     check()
+
+
+@given("a listening address that never answers")
+def never_answers(context):
+    context.listener = socket.create_server(("127.0.30.8", 0))
+    context.add_cleanup(context.listener.close)
+
+
+@when("forwarding watches the store at that address")
+def watches_silent(context):
+    loop = EventLoop()
+    client = RecordingClient(loop, Endpoint(*context.listener.getsockname()))
+    store = StoreClient(loop, "127.0.30.8:1", PlatformStoreCodec())
+    store._client = client
+
+    async def watch():
+        await store.watch(WatchSubject(Subject.ROUTES, 1, 0.0))
+        loop.stop()
+
+    loop.start(watch())
+    loop.run()
+    [context.options] = client.options
+
+
+@then("its connection asks after 1 second of rest and is given up 1 second later")
+def keep_alive_options(context):
+    assert context.options == (1, 1, 1, 1), context.options
+
+
+class RecordingClient(HttpClient):
+    """A client that notes the keep-alive options of its connections."""
+
+    def __init__(self, loop, server):
+        super().__init__(loop, server)
+        self.options = []
+
+    async def _connect(self, deadline):
+        connection = await super()._connect(deadline)
+        stream = connection._stream
+        names = (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT)
+        times = tuple(stream.getsockopt(socket.IPPROTO_TCP, name) for name in names)
+        self.options.append((stream.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE), *times))
+        return connection
--- a/sloepond/runtime/forwarding/http_client.py
+++ b/sloepond/runtime/forwarding/http_client.py
@@ -8,7 +8,7 @@
 from sloepond.runtime.forwarding.event_loop import EventLoop, readable
 from sloepond.runtime.forwarding.http_exchange import HttpExchange, HttpFailure, HttpResponse
 from sloepond.runtime.forwarding.http_message import HttpSyntaxError
-from sloepond.runtime.forwarding.streams import connect, send_all
+from sloepond.runtime.forwarding.streams import connect, keep_alive, send_all
 
 READ_BYTES = 65_536
 LONGEST_CALL_S = 8.0
@@ -70,6 +70,7 @@
     async def _connect(self, deadline: CallDeadline) -> HttpConnection:
         stream = await connect(self._server, deadline.at)
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        keep_alive(stream)
         return HttpConnection(stream, HttpExchange(f"{self._server.host}:{self._server.port}"))
 
 
--- a/sloepond/runtime/forwarding/peer_channel.py
+++ b/sloepond/runtime/forwarding/peer_channel.py
@@ -27,7 +27,7 @@
 from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.runtime.forwarding.event_loop import EventLoop
 from sloepond.runtime.forwarding.log_writer import LogWriter
-from sloepond.runtime.forwarding.streams import Acceptor, connect, read_to_end, send_all
+from sloepond.runtime.forwarding.streams import Acceptor, connect, keep_alive, read_to_end, send_all
 
 MAXIMUM_DATAGRAM_BYTES = 2_048
 BATCH_DATAGRAMS = 64
@@ -117,6 +117,7 @@
     async def _ask(self, ip: str, question: StreamQuestion) -> bytes:
         deadline = self._loop.clock() + FETCH_TIMEOUT_S
         with await connect(Endpoint(ip, self._port), deadline) as stream:
+            keep_alive(stream)
             await send_all(stream, self._encoder.encode(question), deadline)
             stream.shutdown(socket.SHUT_WR)
             return await read_to_end(stream, MAXIMUM_ANSWER_BYTES, deadline)
--- a/sloepond/runtime/forwarding/streams.py
+++ b/sloepond/runtime/forwarding/streams.py
@@ -17,6 +17,13 @@
 ACCEPTS_A_STEP = 8
 """Connections accepted at once, so that a flood of them holds up no packets."""
 
+KEEP_ALIVE_IDLE_S = 1
+"""Rest after which the other end of a connection is asked whether it is still there."""
+KEEP_ALIVE_ANSWER_S = 1
+"""How long it has to answer; silence ends the connection.  Both are whole seconds and the
+least that the system takes: a watch that has fallen silent is noticed after 2 s, without a
+call, in place of the 25.7 s until its own end."""
+
 StreamHandler = Callable[[socket.socket], Coroutine[Wait, None, None]]
 """Serves one connection, which is closed afterwards; OSError ends it."""
 
@@ -42,6 +49,14 @@
     return stream
 
 
+def keep_alive(stream: socket.socket) -> None:
+    """Have a connection fail, as one that timed out, soon after its other end falls silent."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_ANSWER_S)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
+
+
 async def send_all(stream: socket.socket, data: bytes, deadline: float) -> None:
     """Send bytes, as fast as the other end takes them.
 
