--- a/sloepond/core/forwarding/counters.py
+++ b/sloepond/core/forwarding/counters.py
@@ -45,6 +45,14 @@
     peer_messages_received: int = 0
     peer_messages_sent: int = 0
     peer_messages_malformed: int = 0
+    heartbeat_bytes_sent: int = 0
+    token_bytes_sent: int = 0
+    confirmation_bytes_sent: int = 0
+    change_bytes_sent: int = 0
+    unreachable_bytes_sent: int = 0
+    stream_bytes_sent: int = 0
+    stream_bytes_received: int = 0
+    store_bytes_received: int = 0
     fetches_failed: int = 0
     receives_failed: int = 0
     accepts_failed: int = 0
--- a/sloepond/runtime/forwarding/peer_channel.py
+++ b/sloepond/runtime/forwarding/peer_channel.py
@@ -18,11 +18,19 @@
 )
 from sloepond.core.forwarding.node import ForwardingNode
 from sloepond.core.forwarding.peer_messages import (
+    BackendUnreachable,
+    ChangesAsked,
+    ChangesTold,
+    Confirmation,
+    ConfirmationsAsked,
+    Heartbeat,
     Knowledge,
     KnowledgeAsked,
     PeerMessage,
     RoutesAsked,
     StreamQuestion,
+    TokenAsked,
+    TokenFound,
 )
 from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.runtime.forwarding.event_loop import EventLoop
@@ -38,6 +46,17 @@
 MAXIMUM_QUESTION_BYTES = 256
 MAXIMUM_STREAMS = 8
 """Streams of peers served at once; who is turned away asks another peer."""
+_BYTE_COUNTERS: dict[type[PeerMessage], str] = {
+    Heartbeat: "heartbeat_bytes_sent",
+    TokenAsked: "token_bytes_sent",
+    TokenFound: "token_bytes_sent",
+    Confirmation: "confirmation_bytes_sent",
+    ConfirmationsAsked: "confirmation_bytes_sent",
+    ChangesAsked: "change_bytes_sent",
+    ChangesTold: "change_bytes_sent",
+    BackendUnreachable: "unreachable_bytes_sent",
+}
+"""Counter of the bytes of each kind of message, without the heads of IP and UDP."""
 
 
 class PeerChannel:
@@ -73,10 +92,15 @@
 
     def send(self, command: SendToPeer) -> None:
         """Send a datagram; one that cannot be sent is lost."""
+        datagram = self._encoder.encode(command.message)
         try:
-            self._datagrams.sendto(self._encoder.encode(command.message), (command.ip, self._port))
+            self._datagrams.sendto(datagram, (command.ip, self._port))
         except OSError:
             self._node.counters.sends_failed += 1
+            return
+        counter = _BYTE_COUNTERS[type(command.message)]
+        counters = self._node.counters
+        setattr(counters, counter, getattr(counters, counter) + len(datagram))
 
     async def fetch(self, command: FetchKnowledge | FetchRoutes) -> None:
         """Ask a peer for something large; where it does not answer another one is asked later."""
@@ -120,7 +144,9 @@
             keep_alive(stream)
             await send_all(stream, self._encoder.encode(question), deadline)
             stream.shutdown(socket.SHUT_WR)
-            return await read_to_end(stream, MAXIMUM_ANSWER_BYTES, deadline)
+            answer = await read_to_end(stream, MAXIMUM_ANSWER_BYTES, deadline)
+        self._node.counters.stream_bytes_received += len(answer)
+        return answer
 
     async def _answer(self, stream: socket.socket) -> None:
         deadline = self._loop.clock() + FETCH_TIMEOUT_S
@@ -130,7 +156,9 @@
         except msgspec.MsgspecError:
             self._node.counters.peer_messages_malformed += 1
             return
-        await send_all(stream, self._encode_answer(question), deadline)
+        answer = self._encode_answer(question)
+        await send_all(stream, answer, deadline)
+        self._node.counters.stream_bytes_sent += len(answer)
 
     def _encode_answer(self, question: StreamQuestion) -> bytes:
         """Return the answer, empty where nothing is known here."""
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -147,6 +147,7 @@
         else:
             counters.store_probes += 1
             self.dispatch(await self._store.probe())
+        counters.store_bytes_received = self._store.bytes_received
 
     async def _drop_what_waits_too_long(self) -> None:
         """Drop packets that wait while nothing is known; their senders have sent them again."""
--- a/sloepond/runtime/forwarding/store_client.py
+++ b/sloepond/runtime/forwarding/store_client.py
@@ -24,12 +24,14 @@
     """Reads and watches.
 
     :param address: `ip:port` of the store.
+    :ivar bytes_received: bytes of the bodies of all answers.
     """
 
     def __init__(self, loop: EventLoop, address: str, codec: StoreCodec) -> None:
         self._loop = loop
         self._codec = codec
         self._client = HttpClient(loop, _endpoint(address))
+        self.bytes_received = 0
 
     def move(self, address: str) -> None:
         """Call the store at another address from now on."""
@@ -46,7 +48,7 @@
         while event is None:
             if paged.wait_s:
                 await sleep_until(self._loop.clock() + paged.wait_s * (0.5 + random.random()))
-            answer = await self._client.get(paged.target, SILENCE_S)
+            answer = await self._get(paged.target, SILENCE_S)
             event = paged.answered(answer)
             if event is None and isinstance(answer, HttpResponse):
                 heard()
@@ -54,17 +56,25 @@
 
     async def probe(self) -> StoreProbed:
         """Ask whether the store answers."""
-        return StoreProbed(store_failure(await self._client.get(self._codec.probe_target(), SILENCE_S)))
+        return StoreProbed(store_failure(await self._get(self._codec.probe_target(), SILENCE_S)))
 
     async def watch(self, command: WatchSubject) -> StoreEvent:
         """Wait for changes of a subject."""
         target = self._codec.watch_target(command)
-        answer = await self._client.get(target, SILENCE_S, command.wait_s + WATCH_MARGIN_S)
+        answer = await self._get(target, SILENCE_S, command.wait_s + WATCH_MARGIN_S)
         failure = store_failure(answer)
         if isinstance(answer, HttpFailure) or failure is not None:
             return StoreCallFailed(command.subject, failure or StoreFailure.REFUSED, True)
         return self._codec.decode_watch(command, answer.body)
 
+    async def _get(
+        self, target: str, silence_s: float, first_wait_s: float | None = None
+    ) -> HttpResponse | HttpFailure:
+        answer = await self._client.get(target, silence_s, first_wait_s)
+        if isinstance(answer, HttpResponse):
+            self.bytes_received += len(answer.body)
+        return answer
+
 
 def _endpoint(address: str) -> Endpoint:
     host, _, port = address.rpartition(":")
