--- a/sloepond/cli/main.py
+++ b/sloepond/cli/main.py
@@ -62,7 +62,6 @@
         "list": CommandReference("lab", "list_scenarios"),
         "plot": CommandReference("lab", "plot"),
         "bench": CommandReference("bench", "bench"),
-        "capacity": CommandReference("capacity", "capacity"),
     },
 }
 
--- a/sloepond/core/forwarding/dissemination.py
+++ b/sloepond/core/forwarding/dissemination.py
@@ -176,8 +176,10 @@
         is_new = self.election.heard(message.reader, message.rank, message.number, message.is_claim, now)
         if not is_new:
             return
-        if self.election.is_among_best(message.reader, now) or self._catch_up.brings_news(message.changes):
-            self._send(self._peers.choose_near(now), message)
+        brings_news = self._catch_up.brings_news(message.changes)
+        if brings_news or self.election.is_among_best(message.reader, now):
+            passed_on = message if brings_news else _without_changes(message)
+            self._send(self._peers.choose_near(now), passed_on)
         if not message.is_claim:
             self._heard[message.reader] = HeardConfirmation(message, now)
             self._take(ip, message.changes, message.age_s, now)
@@ -325,3 +327,16 @@
     def _send(self, ips: list[str], message: PeerMessage) -> None:
         self._counters.peer_messages_sent += len(ips)
         self._commands.extend(SendToPeer(ip, message) for ip in ips)
+
+
+def _without_changes(message: Confirmation) -> Confirmation:
+    """Return a confirmation that only names how much its reader knows.
+
+    Whoever learns of changes passes them on once; all who hear them again pass on only that
+    they are confirmed, and who lacks them then asks.
+    """
+    told = message.changes
+    bare = Changes(
+        told.routes_version, None, told.revision, told.revision, told.changed_at, (), told.evacuated
+    )
+    return msgspec.structs.replace(message, changes=bare)
