Changes travel once: whoever knows them already passes on the confirmation alone

Each held all changes of 2.2 s, came from three readers several times a second, and was passed on whole by everyone; after a loss of all everyone asked the seeds for the last ones, four times a second.

--- a/sloepond/core/forwarding/catch_up.py
+++ b/sloepond/core/forwarding/catch_up.py
@@ -26,11 +26,13 @@
     """Something a peer knows and this balancer does not.
 
     :ivar peer: who knows it.
+    :ivar known: version or revision known here when the waits began.
     :ivar step: how many of the waits are over.
     """
 
     peer: str
     due: float
+    known: int
     step: int = 0
 
 
@@ -76,7 +78,7 @@
         told[Subject.BACKENDS] = max(told[Subject.BACKENDS], min(changes.changed_at, changes.revision))
         for subject in Subject:
             if self.is_behind(subject) and subject not in self._missing:
-                self._missing[subject] = Missing(ip, now + CATCH_UP_S[0])
+                self._missing[subject] = Missing(ip, now + CATCH_UP_S[0], self.known(subject))
 
     def brings_news(self, changes: Changes) -> bool:
         """Tell whether changes that were told hold something unknown here."""
@@ -94,10 +96,16 @@
         return self._followers[subject].revision
 
     def _ask(self, subject: Subject, missing: Missing, now: float) -> None:
-        """Ask for what a peer knows, unless it has come meanwhile."""
+        """Ask for what a peer knows, unless it has come meanwhile.
+
+        While changes go on and peers tell them, the store is not read.
+        """
         if not self.is_behind(subject):
             del self._missing[subject]
             return
+        if self.known(subject) > missing.known:
+            missing.known = self.known(subject)
+            missing.step = 0
         missing.step += 1
         if missing.step >= len(CATCH_UP_S):
             del self._missing[subject]
--- a/sloepond/core/forwarding/dissemination.py
+++ b/sloepond/core/forwarding/dissemination.py
@@ -185,12 +185,16 @@
             self._take(ip, message.changes, message.age_s, now)
 
     def confirmations_asked(self, ip: str, now: float) -> None:
-        """Tell a peer the last confirmations heard, with their age."""
+        """Tell a peer the last confirmations heard, with their age; it asks for changes it lacks.
+
+        After a loss of all processes everyone asks the few seeds, four times a second.
+        """
         self._heard_peer_at = now
         for heard in self._heard.values():
             age_s = heard.message.age_s + now - heard.at
             if age_s < FRESH_S:
-                self._send([ip], msgspec.structs.replace(heard.message, age_s=age_s))
+                bare = _without_changes(heard.message)
+                self._send([ip], msgspec.structs.replace(bare, age_s=age_s))
 
     def changes_asked(self, ip: str, message: ChangesAsked, now: float) -> None:
         """Answer a peer that lacks changes."""
--- a/sloepond/core/forwarding/news.py
+++ b/sloepond/core/forwarding/news.py
@@ -23,15 +23,10 @@
 """Back ends in one message, so that it fits a datagram."""
 MAXIMUM_MESSAGES = 8
 """Messages that answer one question; who lacks more reads the whole list."""
-REPEAT_S = 2.2
-"""How long a change is repeated in confirmations, against lost datagrams."""
-
-
-class SentRevision(msgspec.Struct, frozen=True):
-    """A revision and when it was confirmed."""
-
-    revision: int
-    at: float
+REPEATS = 2
+"""Confirmations of one reader that hold a change of back ends, against lost datagrams."""
+REPEAT_ROUTES_S = 2.2
+"""How long a change of the routes is repeated."""
 
 
 class News:
@@ -41,7 +36,7 @@
         self._routes = routes
         self._backends = backends
         self._evacuations = evacuations
-        self._sent: collections.deque[SentRevision] = collections.deque()
+        self._confirmed: collections.deque[int] = collections.deque(maxlen=REPEATS)
         self._routes_taken_at = 0.0
 
     @property
@@ -58,9 +53,9 @@
 
         :param revision: the store's revision up to which the reader knows all.
         """
-        base = self._repeated_from(revision, now)
+        base = self._repeated_from(revision)
         delta = None
-        if now - self._routes_taken_at < REPEAT_S:
+        if now - self._routes_taken_at < REPEAT_ROUTES_S:
             delta = self._routes.history.latest_to(self._routes.version)
         parts = tuple(self._parts(base, revision, now))
         if not parts:
@@ -105,13 +100,11 @@
         knows_base = revision >= changes.base_revision or revision >= changes.changed_at
         return max(revision, changes.revision) if knows_base else revision
 
-    def _repeated_from(self, revision: int, now: float) -> int:
-        """Return the revision confirmed a moment ago, from which changes are repeated."""
-        sent = self._sent
-        sent.append(SentRevision(revision, now))
-        while len(sent) > 1 and now - sent[1].at >= REPEAT_S:
-            sent.popleft()
-        return min(sent[0].revision, revision)
+    def _repeated_from(self, revision: int) -> int:
+        """Return the revision confirmed a few times ago, from which changes are told."""
+        base = min(self._confirmed[0], revision) if self._confirmed else revision
+        self._confirmed.append(revision)
+        return base
 
     def _parts(self, base: int, revision: int, now: float) -> Iterator[Changes]:
         """Return all changes between two revisions, in parts that follow each other."""
