--- a/features/forwarding/readers.feature
+++ b/features/forwarding/readers.feature
@@ -76,3 +76,8 @@
 
   Scenario: Whoever takes parts of changes knows all up to the revision it then names
     Then forwarding property: changes told in parts, some lost, never leave a gap unnoticed
+
+  Scenario: A change travels about once to each balancer, and is not repeated by all
+    Given a simulated fleet of 40 forwarding nodes
+    When 60 back ends of the forwarding fleet start at once
+    Then each balancer of the forwarding fleet sends at most 30 kilobytes in 4 seconds
--- a/features/steps/forwarding_fleet.py
+++ b/features/steps/forwarding_fleet.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 
+import msgspec
 from forwarding_model import record
 
 from sloepond.core.forwarding.backend_records import BackendState
@@ -143,6 +144,7 @@
         self.nodes = {}
         self.watches = {}
         self.datagrams = 0
+        self.bytes_sent = 0
         self.queue = []
         self.order = itertools.count()
         self.ips = [f"10.1.{n // 250}.{n % 250 + 1}" for n in range(count)]
@@ -184,6 +186,7 @@
     def send(self, ip, command):
         """Send a datagram."""
         self.datagrams += 1
+        self.bytes_sent += len(msgspec.msgpack.encode(command.message))
         target = self.nodes.get(command.ip)
         is_apart = self.group.get(ip) != self.group.get(command.ip)
         if target is None or is_apart or self.random.random() < self.loss:
--- a/features/steps/forwarding_readers_steps.py
+++ b/features/steps/forwarding_readers_steps.py
@@ -301,3 +301,13 @@
     context.fleet.run(seconds)
     made = context.fleet.store.calls - context.calls_before
     assert made < count, made
+
+
+@then("each balancer of the forwarding fleet sends at most {kilobytes:d} kilobytes in {seconds:d} seconds")
+def sent_at_most(context, kilobytes, seconds):
+    fleet = context.fleet
+    before = fleet.bytes_sent
+    fleet.run(seconds)
+    assert not fleet.behind()
+    sent = (fleet.bytes_sent - before) / len(fleet.nodes) / 1000.0
+    assert sent <= kilobytes, sent
