--- /dev/null
+++ b/sloepond/core/forwarding/backend_checks.py
@@ -0,0 +1,90 @@
+"""Back ends that seem to be gone: when they are checked, and what follows from the verdicts."""
+
+from __future__ import annotations
+
+from sloepond.core.forwarding.backends import BackendDirectory
+from sloepond.core.forwarding.commands import CheckBackend, Command, LogKind, ResetFlows, WriteLog
+from sloepond.core.forwarding.counters import ForwardingCounters
+from sloepond.core.forwarding.events import BackendChecked, CheckResult
+from sloepond.core.forwarding.flow_observer import FlowObserver
+from sloepond.core.forwarding.flow_resets import FlowResets
+from sloepond.core.forwarding.peer_exchange import PeerExchange
+from sloepond.core.forwarding.reachability import Reachability
+
+OPENING_SILENCE_S = 0.08
+"""Time without a packet after a flow's opening one that makes its back end to be checked.
+The next one comes after two ways between zones and two to the caller, about 6 ms."""
+
+
+class BackendChecks:
+    """Checks back ends and resets the flows of those that are gone.
+
+    :param observer: tells which flows rest on a back end, and which openings nothing followed.
+    :param exchange: tells peers of back ends that cannot be reached.
+    """
+
+    def __init__(
+        self,
+        backends: BackendDirectory,
+        observer: FlowObserver,
+        reachability: Reachability,
+        exchange: PeerExchange,
+        counters: ForwardingCounters,
+    ) -> None:
+        self._backends = backends
+        self._observer = observer
+        self._reachability = reachability
+        self._exchange = exchange
+        self._counters = counters
+        self._flow_resets = FlowResets(observer)
+        self._commands: list[Command] = []
+
+    def take_commands(self, now: float) -> list[Command]:
+        """Return what is to be done, and forget it."""
+        segments = self._flow_resets.take(now)
+        if segments:
+            self._counters.flows_reset_resting += len(segments)
+            self._commands.append(ResetFlows(segments))
+        commands, self._commands = self._commands, []
+        return commands
+
+    def next_deadline(self) -> float:
+        """Return when there is something to check or to reset."""
+        return min(self._flow_resets.next_deadline(), self._observer.unanswered_since() + OPENING_SILENCE_S)
+
+    def on_time(self, now: float) -> None:
+        """Check back ends that left an opening packet unanswered for longer than that takes."""
+        for backend in self._observer.take_unanswered(now - OPENING_SILENCE_S):
+            self._counters.openings_unanswered += 1
+            self.suspected(backend.name, now)
+
+    def told_by_peers(self, now: float) -> None:
+        """Check back ends with flows here that peers could not reach."""
+        for name in self._exchange.take_suspected():
+            self.suspected(name, now)
+
+    def suspected(self, name: str, now: float) -> None:
+        """Check a back end that may be gone, unless it was lately."""
+        backend = self._backends.by_name(name)
+        if backend is not None and self._reachability.may_check(backend, now):
+            self._counters.backends_checked += 1
+            control = self._reachability.control(backend, now)
+            self._commands.append(CheckBackend(name, backend.endpoint, control))
+
+    def checked(self, event: BackendChecked, now: float) -> None:
+        """Take the end of a check: flows of a back end that is gone are reset, peers are told."""
+        backend = self._backends.by_name(event.name)
+        if backend is None:
+            return
+        if event.result is CheckResult.UNKNOWN:
+            if self._reachability.in_doubt(backend, now):
+                self.suspected(backend.name, now)
+        else:
+            self._reachability.checked(backend, event.result, now)
+        resting = 0
+        if event.result is CheckResult.UNREACHABLE:
+            self._counters.backends_unreachable += 1
+            resting = self._flow_resets.backend_gone(backend, now)
+            self._exchange.tell_unreachable(event.name, now)
+        detail = f"result={event.result.value} state={backend.state.name.lower()} flows_reset={resting}"
+        self._commands.append(WriteLog(LogKind.BACKEND_CHECKED, event.name, detail))
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -10,15 +10,14 @@
 
 from sloepond.core.deadlines import NEVER
 from sloepond.core.forwarding.backend import Decision
+from sloepond.core.forwarding.backend_checks import OPENING_SILENCE_S, BackendChecks
 from sloepond.core.forwarding.backends import BackendDirectory
 from sloepond.core.forwarding.cold_openings import ColdLimit, ColdOpenings
 from sloepond.core.forwarding.commands import (
-    CheckBackend,
     Command,
     CompleteStop,
     ForwardHeld,
     LogKind,
-    ResetFlows,
     WriteLog,
 )
 from sloepond.core.forwarding.counters import ForwardingCounters
@@ -27,7 +26,6 @@
 from sloepond.core.forwarding.events import (
     BackendChecked,
     BackendSuspected,
-    CheckResult,
     Event,
     FetchFailed,
     KnowledgeReceived,
@@ -45,7 +43,6 @@
     TimerFired,
     UnknownTokenMet,
 )
-from sloepond.core.forwarding.flow_resets import FlowResets
 from sloepond.core.forwarding.follower import Follower
 from sloepond.core.forwarding.forwarder import Forwarder
 from sloepond.core.forwarding.latency import LatencyHistogram
@@ -65,9 +62,6 @@
 STOP_FORWARD_S = 1.8
 """How long a stopping balancer forwards on, so that routers notice it is not ready."""
 IDENTITY_BITS = 63
-OPENING_SILENCE_S = 0.08
-"""Time without a packet after a flow's opening one that makes its back end to be checked.
-The next one comes after two ways between zones and two to the caller, about 6 ms."""
 HOUSEKEEPING_S = 0.5
 """Time between looks for what can be forgotten."""
 
@@ -114,8 +108,7 @@
             self.counters,
             random_source,
         )
-        self._flow_resets = FlowResets(self._forwarder.observer)
-        self._reachability = Reachability(self.backends, random_source)
+        reachability = Reachability(self.backends, random_source)
         self._dissemination = Dissemination(
             ReaderElection(random_source.getrandbits(IDENTITY_BITS), capacity, random_source),
             self._followers,
@@ -140,10 +133,13 @@
             self.evacuations,
             self._followers,
             self._dissemination,
-            self._reachability,
+            reachability,
             self.counters,
             random_source,
         )
+        self._checks = BackendChecks(
+            self.backends, self._forwarder.observer, reachability, self._exchange, self.counters
+        )
         self._commands: list[Command] = []
         self._now = 0.0
         self._deadline = NEVER
@@ -275,8 +271,7 @@
         """Take what concerns peers and what back ends seem to be."""
         if isinstance(event, PeerMessageReceived):
             self._exchange.message_received(event, self._now)
-            for name in self._exchange.take_suspected():
-                self._suspected(name)
+            self._checks.told_by_peers(self._now)
         elif isinstance(event, KnowledgeReceived):
             self._exchange.knowledge_received(event, self._now)
         elif isinstance(event, FetchFailed):
@@ -286,9 +281,9 @@
         elif isinstance(event, UnknownTokenMet):
             self._exchange.unknown_token(event, self._now)
         elif isinstance(event, BackendSuspected):
-            self._suspected(event.name)
+            self._checks.suspected(event.name, self._now)
         else:
-            self._checked(event)
+            self._checks.checked(event, self._now)
 
     def next_deadline(self) -> float:
         """Return when to send `TimerFired` next."""
@@ -296,10 +291,10 @@
 
     def _finish(self) -> list[Command]:
         self._log_told()
-        self._reset_flows()
         routed = self._forwarder.routed(self._now)
         if routed:
             self._commands.append(ForwardHeld(routed))
+        self._commands.extend(self._checks.take_commands(self._now))
         self._commands.extend(self._answers.take_commands())
         self._commands.extend(self._exchange.take_commands())
         self._commands.extend(self._dissemination.take_commands())
@@ -310,8 +305,7 @@
             self._exchange.next_deadline(),
             self._dissemination.next_deadline(),
             self._forwarder.admission.next_deadline(self._now),
-            self._flow_resets.next_deadline(),
-            self._forwarder.observer.unanswered_since() + OPENING_SILENCE_S,
+            self._checks.next_deadline(),
         )
         if self._dissemination.may_read_store:
             reads = [follower.next_deadline() for follower in self._followers.values()]
@@ -335,47 +329,11 @@
             detail = f"state={record.state.name.lower()} rev={record.revision} told=peer"
             self._log(LogKind.BACKEND_CHANGED, record.name, detail)
 
-    def _reset_flows(self) -> None:
-        segments = self._flow_resets.take(self._now)
-        if segments:
-            self.counters.flows_reset_resting += len(segments)
-            self._commands.append(ResetFlows(segments))
-
-    def _check_unanswered(self) -> None:
-        """Check back ends that left an opening packet unanswered for longer than that takes."""
-        for backend in self._forwarder.observer.take_unanswered(self._now - OPENING_SILENCE_S):
-            self.counters.openings_unanswered += 1
-            self._suspected(backend.name)
-
-    def _suspected(self, name: str) -> None:
-        backend = self.backends.by_name(name)
-        if backend is not None and self._reachability.may_check(backend, self._now):
-            self.counters.backends_checked += 1
-            control = self._reachability.control(backend, self._now)
-            self._commands.append(CheckBackend(name, backend.endpoint, control))
-
-    def _checked(self, event: BackendChecked) -> None:
-        backend = self.backends.by_name(event.name)
-        if backend is None:
-            return
-        resting = 0
-        if event.result is CheckResult.UNKNOWN:
-            if self._reachability.in_doubt(backend, self._now):
-                self._suspected(backend.name)
-        else:
-            self._reachability.checked(backend, event.result, self._now)
-        if event.result is CheckResult.UNREACHABLE:
-            self.counters.backends_unreachable += 1
-            resting = self._flow_resets.backend_gone(backend, self._now)
-            self._exchange.tell_unreachable(event.name, self._now)
-        detail = f"result={event.result.value} state={backend.state.name.lower()} flows_reset={resting}"
-        self._log(LogKind.BACKEND_CHECKED, event.name, detail)
-
     def _on_time(self) -> None:
         if self._now >= self._stop_at:
             self._stop_at = NEVER
             self._commands.append(CompleteStop())
-        self._check_unanswered()
+        self._checks.on_time(self._now)
         self._stall_guard.on_time(self._now)
         self._exchange.on_time(self._now)
         self._dissemination.on_time(self._now)
