Logs tell how old the knowledge behind a decision is, and whether lists differ

New log lines: knowledge_old (no confirmation for 1.5 s), list_differs (no reader heard holds this list, told by a 64-bit digest that confirmations carry), change_missed (a probe shows a revision of the store that no watch has told). role_changed tells the age; sloepond_flows_placed_unconfirmed_total counts new flows placed on knowledge older than 1.5 s.

--- a/sloepond/core/forwarding/backends.py
+++ b/sloepond/core/forwarding/backends.py
@@ -8,6 +8,7 @@
 from sloepond.core.forwarding.backend import ForwardingBackend
 from sloepond.core.forwarding.backend_records import BackendRecord, BackendState, Endpoint
 from sloepond.core.forwarding.change_index import ChangeIndex
+from sloepond.core.forwarding.list_digest import ListDigest
 from sloepond.core.forwarding.places import ANYWHERE, PlaceRules
 
 DEPARTED_MEMORY_S = 90.0
@@ -40,6 +41,7 @@
         self._evacuated: frozenset[str] = frozenset()
         self.cold_until = 0.0
         self.changes = ChangeIndex()
+        self._digest = ListDigest()
 
     def __len__(self) -> int:
         return len(self._by_name)
@@ -47,6 +49,11 @@
     def __iter__(self) -> Iterator[ForwardingBackend]:
         return iter(self._by_name.values())
 
+    @property
+    def list_digest(self) -> int:
+        """Digest of the back ends that are listed, at their revisions."""
+        return self._digest.value
+
     @property
     def are_known(self) -> bool:
         """Whether a whole list is known and there is something in it."""
@@ -107,6 +114,8 @@
         :returns: whether anything changed.
         """
         backend = self._by_name.get(record.name)
+        if backend is None or record.revision > backend.revision:
+            self._digest.entered(record.name, record.number, record.revision)
         if backend is None:
             self._add(ForwardingBackend(record, now))
         elif not _is_news(record, backend):
@@ -136,6 +145,8 @@
         backend = ForwardingBackend(record, now)
         backend.departed_at = now - departed_s
         self._add(backend)
+        if record.state is not BackendState.DEPARTED:
+            self._digest.entered(record.name, record.number, record.revision)
         self._changed(record.name, record.service, record.revision)
         return True
 
@@ -144,6 +155,7 @@
         backend = self._by_name.get(name)
         if backend is None or backend.state is BackendState.DEPARTED or revision < backend.revision:
             return False
+        self._digest.left(name)
         backend.state = BackendState.DEPARTED
         backend.revision = revision
         backend.departed_at = now
--- a/sloepond/core/forwarding/counters.py
+++ b/sloepond/core/forwarding/counters.py
@@ -39,6 +39,10 @@
     held_packets_dropped: int = 0
     knowledge_taken: int = 0
     behind_peers: int = 0
+    knowledge_old: int = 0
+    lists_differing: int = 0
+    changes_missed: int = 0
+    flows_placed_unconfirmed: int = 0
     store_reads: int = 0
     store_watches: int = 0
     store_probes: int = 0
--- a/sloepond/core/forwarding/dissemination.py
+++ b/sloepond/core/forwarding/dissemination.py
@@ -9,9 +9,12 @@
 from sloepond.core.forwarding.commands import Command, FetchRoutes, LogKind, ProbeStore, SendToPeer, WriteLog
 from sloepond.core.forwarding.counters import ForwardingCounters
 from sloepond.core.forwarding.evacuated_zones import EvacuatedZones
-from sloepond.core.forwarding.events import StoreCallFailed, StoreFailure, Subject
+from sloepond.core.forwarding.events import StoreCallFailed, StoreProbed, Subject
 from sloepond.core.forwarding.follower import Follower
 from sloepond.core.forwarding.heard_confirmations import HeardConfirmations, without_changes
+from sloepond.core.forwarding.knowledge_age import KnowledgeAge
+from sloepond.core.forwarding.list_comparison import ListComparison
+from sloepond.core.forwarding.list_digest import NO_DIGEST
 from sloepond.core.forwarding.news import News
 from sloepond.core.forwarding.peer_messages import (
     Changes,
@@ -23,7 +26,7 @@
     PeerMessage,
 )
 from sloepond.core.forwarding.peers import PeerTable
-from sloepond.core.forwarding.readers import FRESH_S, ReaderElection, Role
+from sloepond.core.forwarding.readers import ReaderElection, Role
 from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.core.forwarding.store_contact import StoreContact
 
@@ -67,7 +70,8 @@
         self._pull_at = NEVER
         self._fetch_again_at = -NEVER
         self._heard = HeardConfirmations()
-        self._confirmed_at = dict.fromkeys(Subject, -NEVER)
+        self.age = KnowledgeAge(followers)
+        self._comparison = ListComparison()
         self._catch_up = CatchUp(news, followers, peers, counters, random_source)
         self._changed: list[KnownBackend] = []
         self._heard_peer_at = -NEVER
@@ -87,10 +91,6 @@
         changed, self._changed = self._changed, []
         return changed
 
-    def age(self, subject: Subject, now: float) -> float:
-        """Return seconds since what is known of a subject was last confirmed."""
-        return now - max(self._confirmed_at[subject], self._followers[subject].confirmed_at)
-
     def next_deadline(self) -> float:
         """Return when `on_time` has something to do."""
         return min(
@@ -147,16 +147,14 @@
     def _wants_store(self) -> bool:
         return any(follower.next_deadline() < NEVER for follower in self._followers.values())
 
-    def probe_ended(self, failure: StoreFailure | None, now: float) -> None:
-        """Take the end of a probe; one that failed means that the watches may hang.
-
-        :param failure: why there was no answer, None where there was one.
-        """
+    def probe_ended(self, event: StoreProbed, now: float) -> None:
+        """Take the end of a probe; one that failed means that the watches may hang."""
         self._contact.probe_ended()
-        if failure is None:
+        if event.failure is None:
+            self._note_store_revision(event.revision)
             self.store_answered(now)
             return
-        self._contact.failed(failure, now)
+        self._contact.failed(event.failure, now)
         self.election.store_failed(now)
         if self.election.is_reader:
             for follower in self._followers.values():
@@ -175,6 +173,7 @@
         if not message.is_claim:
             self._heard.note(message, now)
             self._take(ip, message.changes, message.age_s, now)
+            self._compare_lists(ip, message.changes, now)
 
     def confirmations_asked(self, ip: str, now: float) -> None:
         """Tell a peer the last confirmations heard, with their age; it asks for changes it lacks.
@@ -224,7 +223,9 @@
 
     def _review_role(self, now: float) -> None:
         before = self.election.role
-        is_fresh = all(self.age(subject, now) < FRESH_S for subject in Subject)
+        is_fresh = self.age.is_fresh(now)
+        if self.age.review(now):
+            self._log_old(now)
         hears_peers = now - self._heard_peer_at < HEARS_PEERS_S
         self.election.on_time(now, is_fresh, hears_peers, len(self._peers))
         role = self.election.role
@@ -232,7 +233,8 @@
             return
         self._counters.role_changes += 1
         detail = (
-            f"heard={self.election.readers_heard(now)} fresh={is_fresh} failing={self.election.is_failing}"
+            f"heard={self.election.readers_heard(now)} fresh={is_fresh} failing={self.election.is_failing} "
+            f"age_s={self.age.oldest(now):.2f}"
         )
         self._commands.append(WriteLog(LogKind.ROLE_CHANGED, role.value, detail))
         if role is Role.CLAIMANT:
@@ -264,7 +266,8 @@
         if not self.election.is_reader or not is_sound:
             return
         age_s = max(0.0, now - self._contact.answered_at)
-        self._confirmed_at = dict.fromkeys(Subject, now - age_s)
+        for subject in Subject:
+            self.age.confirmed(subject, now - age_s)
         revision = self._followers[Subject.BACKENDS].revision
         for changes in self._news.confirmed_changes(revision, now):
             message = self._message(False, age_s, changes)
@@ -273,7 +276,7 @@
 
     def _pull(self, now: float) -> None:
         """Ask peers for the last confirmations if none has come for long."""
-        age_s = min(NEVER, max(self.age(subject, now) for subject in Subject))
+        age_s = self.age.oldest(now)
         if self.election.is_reader or age_s < PULL_AFTER_S:
             self._pull_at = now + max(PULL_AFTER_S - age_s, PULL_INTERVAL_S)
             return
@@ -300,7 +303,35 @@
         self._catch_up.compare(ip, changes, now)
         for subject in Subject:
             if not self._catch_up.is_behind(subject):
-                self._confirmed_at[subject] = max(self._confirmed_at[subject], now - age_s)
+                self.age.confirmed(subject, now - age_s)
+
+    def _compare_lists(self, ip: str, changes: Changes, now: float) -> None:
+        """See whether a reader that knows as much holds the same list of back ends."""
+        known = self._followers[Subject.BACKENDS].revision
+        if changes.list_digest == NO_DIGEST or known > changes.revision:
+            return
+        is_alike = changes.list_digest == self._news.list_digest
+        if not self._comparison.compare(is_alike, now):
+            return
+        self._comparison.begin_again()
+        self._counters.lists_differing += 1
+        detail = f"from={ip} rev={known} told_rev={changes.revision}"
+        self._commands.append(WriteLog(LogKind.LIST_DIFFERS, "backends", detail))
+
+    def _note_store_revision(self, revision: int) -> None:
+        """See whether the store has gone on since the last probe without a watch telling it."""
+        known = max(follower.revision for follower in self._followers.values())
+        if self._contact.has_missed_change(known, revision):
+            self._counters.changes_missed += 1
+            detail = f"store_rev={revision} known_rev={known}"
+            self._commands.append(WriteLog(LogKind.CHANGE_MISSED, "store", detail))
+
+    def _log_old(self, now: float) -> None:
+        self._counters.knowledge_old += 1
+        detail = f"heard={self.election.readers_heard(now)} " + " ".join(
+            f"{subject.name.lower()}_age_s={self.age.of(subject, now):.2f}" for subject in Subject
+        )
+        self._commands.append(WriteLog(LogKind.KNOWLEDGE_OLD, self.election.role.value, detail))
 
     def _log_evacuated(self, ip: str, evacuated: EvacuatedZones) -> None:
         detail = f"from={ip} rev={evacuated.revision}"
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -93,9 +93,11 @@
     """A call that only asks whether the store answers has ended.
 
     :ivar failure: why there was no answer, None where there was one.
+    :ivar revision: the store's revision at the answer, 0 where it named none.
     """
 
     failure: StoreFailure | None
+    revision: int = 0
 
 
 class TimerFired(msgspec.Struct, frozen=True):
--- a/sloepond/core/forwarding/heard_confirmations.py
+++ b/sloepond/core/forwarding/heard_confirmations.py
@@ -54,6 +54,13 @@
     """
     told = message.changes
     bare = Changes(
-        told.routes_version, None, told.revision, told.revision, told.changed_at, (), told.evacuated
+        told.routes_version,
+        None,
+        told.revision,
+        told.revision,
+        told.changed_at,
+        (),
+        told.evacuated,
+        told.list_digest,
     )
     return msgspec.structs.replace(message, changes=bare)
--- /dev/null
+++ b/sloepond/core/forwarding/knowledge_age.py
@@ -0,0 +1,45 @@
+"""How old what a balancer knows is: seconds since the store, or a reader of it, confirmed it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from sloepond.core.deadlines import NEVER
+from sloepond.core.forwarding.events import Subject
+from sloepond.core.forwarding.follower import Follower
+from sloepond.core.forwarding.readers import FRESH_S
+
+
+class KnowledgeAge:
+    """When each subject was confirmed last.
+
+    :param followers: own reads of the store confirm too.
+    :ivar is_old: whether a subject was unconfirmed for longer than `FRESH_S` when last reviewed.
+    """
+
+    def __init__(self, followers: Mapping[Subject, Follower]) -> None:
+        self._followers = followers
+        self._confirmed_at = dict.fromkeys(Subject, -NEVER)
+        self.is_old = False
+
+    def confirmed(self, subject: Subject, at: float) -> None:
+        """Note that all that is known of a subject was true at a time."""
+        self._confirmed_at[subject] = max(self._confirmed_at[subject], at)
+
+    def of(self, subject: Subject, now: float) -> float:
+        """Return seconds since what is known of a subject was last confirmed."""
+        return now - max(self._confirmed_at[subject], self._followers[subject].confirmed_at)
+
+    def oldest(self, now: float) -> float:
+        """Return the age of the subject that was confirmed longest ago, at most `NEVER`."""
+        return min(NEVER, max(self.of(subject, now) for subject in Subject))
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether all subjects were confirmed lately."""
+        return self.oldest(now) < FRESH_S
+
+    def review(self, now: float) -> bool:
+        """Look at the age; return whether it has become old since the last look."""
+        was_old = self.is_old
+        self.is_old = not self.is_fresh(now)
+        return self.is_old and not was_old
--- /dev/null
+++ b/sloepond/core/forwarding/list_digest.py
@@ -0,0 +1,63 @@
+"""A number that tells whether two balancers hold the same list of back ends.
+
+It is the same wherever the same entries are listed at the same revisions, in whatever order
+they were learned, so a balancer need not be sent a list to see that its own is another one.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+DIGEST_BITS = 64
+DIGEST_MASK = (1 << DIGEST_BITS) - 1
+NO_DIGEST = 0
+"""Stands where a sender tells no digest; the digest of an empty list is the same."""
+_NUMBER_FACTOR = 0x9E3779B97F4A7C15
+_REVISION_FACTOR = 0xBF58476D1CE4E5B9
+_MIXING_FACTOR = 0x94D049BB133111EB
+"""Factors and shifts of the splitmix64 generator (Steele, Lea, Flood, 2014): each bit of an
+identity or a revision changes about half of the bits of the result."""
+
+
+class ListedEntry(NamedTuple):
+    """One entry of the list: its revision, and what it adds to the digest."""
+
+    revision: int
+    value: int
+
+
+class ListDigest:
+    """The digest of a list that changes entry by entry.
+
+    :ivar value: the digest, 64 bits.
+    """
+
+    def __init__(self) -> None:
+        self.value = NO_DIGEST
+        self._entries: dict[str, ListedEntry] = {}
+
+    def entered(self, name: str, number: int, revision: int) -> None:
+        """Note that a back end is listed as of a revision; an older one changes nothing.
+
+        :param number: identity of the back end (64 bits).
+        """
+        known = self._entries.get(name)
+        if known is not None and known.revision >= revision:
+            return
+        entry = ListedEntry(revision, _mixed(number, revision))
+        self.value ^= entry.value ^ (known.value if known is not None else 0)
+        self._entries[name] = entry
+
+    def left(self, name: str) -> None:
+        """Note that a back end is listed no longer."""
+        known = self._entries.pop(name, None)
+        if known is not None:
+            self.value ^= known.value
+
+
+def _mixed(number: int, revision: int) -> int:
+    """Return 64 bits that depend on all bits of an identity and a revision."""
+    mixed = (number * _NUMBER_FACTOR + revision * _REVISION_FACTOR) & DIGEST_MASK
+    mixed = (mixed ^ mixed >> 30) * _REVISION_FACTOR & DIGEST_MASK
+    mixed = (mixed ^ mixed >> 27) * _MIXING_FACTOR & DIGEST_MASK
+    return mixed ^ mixed >> 31
--- a/sloepond/core/forwarding/news.py
+++ b/sloepond/core/forwarding/news.py
@@ -44,6 +44,11 @@
         """Version of the routes in force."""
         return self._routes.version
 
+    @property
+    def list_digest(self) -> int:
+        """Digest of the back ends that are listed."""
+        return self._backends.list_digest
+
     def routes_taken(self, now: float) -> None:
         """Note that a version of the routes has come into force."""
         self._routes_taken_at = now
@@ -60,6 +65,7 @@
         parts = tuple(self._parts(base, revision, now))
         if not parts:
             parts = (self._changes(None, revision, revision),)
+        parts = (*parts[:-1], msgspec.structs.replace(parts[-1], list_digest=self._backends.list_digest))
         return (msgspec.structs.replace(parts[0], route_delta=delta), *parts[1:])
 
     def answer(self, routes_version: int, revision: int, own_revision: int, now: float) -> list[Changes]:
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -203,11 +203,11 @@
 
     def routes_age(self, now: float) -> float:
         """Return seconds since the store or a reader of it confirmed the routes."""
-        return self._dissemination.age(Subject.ROUTES, now)
+        return self._dissemination.age.of(Subject.ROUTES, now)
 
     def backends_age(self, now: float) -> float:
         """Return seconds since the store or a reader of it confirmed the back ends."""
-        return self._dissemination.age(Subject.BACKENDS, now)
+        return self._dissemination.age.of(Subject.BACKENDS, now)
 
     def knowledge(self, now: float) -> str:
         """Return versions and ages of what is known, for a log line."""
@@ -243,6 +243,8 @@
         decision = self._forwarder.decide(segment, now)
         if segment.is_opening:
             self._deadline = min(self._deadline, now + OPENING_SILENCE_S)
+            if decision.backend is not None and self._dissemination.age.is_old:
+                self.counters.flows_placed_unconfirmed += 1
         elif segment.length:
             self._deadline = min(self._deadline, now + PATIENCE_S)
         return decision
@@ -264,7 +266,7 @@
         elif isinstance(event, SettingsChanged):
             self._exchange.seeds_changed(event.seeds)
         elif isinstance(event, StoreProbed):
-            self._dissemination.probe_ended(event.failure, now)
+            self._dissemination.probe_ended(event, now)
         elif isinstance(event, StoreHeard):
             self._exchange.bootstrap.store_heard(now)
         elif isinstance(event, OpeningHeld):
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -180,9 +180,9 @@
         )
         return Knowledge(
             self._routes.in_force,
-            self._dissemination.age(Subject.ROUTES, now),
+            self._dissemination.age.of(Subject.ROUTES, now),
             backends,
-            self._dissemination.age(Subject.BACKENDS, now),
+            self._dissemination.age.of(Subject.BACKENDS, now),
             self._followers[Subject.BACKENDS].revision,
             self._evacuations.known,
         )
--- a/sloepond/core/forwarding/peer_messages.py
+++ b/sloepond/core/forwarding/peer_messages.py
@@ -6,6 +6,7 @@
 
 from sloepond.core.forwarding.backend_records import BackendRecord
 from sloepond.core.forwarding.evacuated_zones import EvacuatedZones
+from sloepond.core.forwarding.list_digest import NO_DIGEST
 from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.core.forwarding.routes import RouteConfiguration
 
@@ -61,6 +62,8 @@
     :ivar changed_at: revision of the last change of a back end known to the sender.
     :ivar backends: changed back ends as they are now.
     :ivar evacuated: all evacuated zones the sender knows of.
+    :ivar list_digest: digest of the sender's list of back ends at `revision`, `NO_DIGEST` where it
+        tells none.
     """
 
     routes_version: int
@@ -70,6 +73,7 @@
     changed_at: int
     backends: tuple[KnownBackend, ...] = ()
     evacuated: EvacuatedZones = EvacuatedZones()
+    list_digest: int = NO_DIGEST
 
 
 class Confirmation(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/sloepond/runtime/forwarding/store_client.py
+++ b/sloepond/runtime/forwarding/store_client.py
@@ -7,7 +7,14 @@
 
 from sloepond.core.forwarding.backend_records import Endpoint
 from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
-from sloepond.core.forwarding.events import StoreCallFailed, StoreEvent, StoreFailure, StoreProbed
+from sloepond.core.forwarding.events import (
+    BackendsRead,
+    StoreCallFailed,
+    StoreEvent,
+    StoreFailure,
+    StoreProbed,
+    Subject,
+)
 from sloepond.runtime.forwarding.drivers import StoreCodec
 from sloepond.runtime.forwarding.event_loop import EventLoop, sleep_until
 from sloepond.runtime.forwarding.http_client import HttpClient
@@ -56,7 +63,12 @@
 
     async def probe(self) -> StoreProbed:
         """Ask whether the store answers."""
-        return StoreProbed(store_failure(await self._get(self._codec.probe_target(), SILENCE_S)))
+        answer = await self._get(self._codec.probe_target(), SILENCE_S)
+        failure = store_failure(answer)
+        if isinstance(answer, HttpFailure) or failure is not None:
+            return StoreProbed(failure)
+        page = self._codec.decode_page(Subject.BACKENDS, answer.body).event
+        return StoreProbed(None, page.revision if isinstance(page, BackendsRead) else 0)
 
     async def watch(self, command: WatchSubject) -> StoreEvent:
         """Wait for changes of a subject."""
