Failing: back ends that have left get new flows

The model can turn nodes away and tells the store's revision to probes; the capacity of its nodes can be set.

--- a/features/steps/forwarding_fleet.py
+++ b/features/steps/forwarding_fleet.py
@@ -131,6 +131,7 @@
     :ivar loss: share of the datagrams that are lost.
     :ivar apart: pairs of groups: no datagram goes between different groups.
     :ivar storeless: addresses whose calls to the store bring nothing.
+    :ivar refused: addresses that the store turns away.
     """
 
     def __init__(self, count, seed=1, loss=0.0, seeds=3, **options):
@@ -141,6 +142,7 @@
         self.loss = loss
         self.group = {}
         self.storeless = set()
+        self.refused = set()
         self.nodes = {}
         self.watches = {}
         self.datagrams = 0
@@ -157,7 +159,7 @@
         self.watches = {key: watch for key, watch in self.watches.items() if key[0] != ip}
         zone = f"z{int(ip.rpartition('.')[2]) % 3}"
         chance = random.Random(self.random.random())
-        node = ForwardingNode(zone, chance, ip, self.seeds, capacity=0.1, **self.options)
+        node = ForwardingNode(zone, chance, ip, self.seeds, **{"capacity": 0.1, **self.options})
         self.nodes[ip] = node
         self.carry_out(ip, node, node.start(self.now))
         self.carry_out(ip, node, node.handle(PeersJoined(), self.now))
@@ -211,6 +213,14 @@
             if deltas:
                 self.later(ANSWER_S, ip, node, RoutesTold(command.ip, deltas))
 
+    def refuse(self, ips):
+        """Have the store turn some nodes away; their watches are cut."""
+        self.refused = set(ips)
+        for key, (node, command) in list(self.watches.items()):
+            if key[0] in self.refused:
+                del self.watches[key]
+                self.later(ANSWER_S, key[0], node, self.failure(command, StoreFailure.UNREACHABLE))
+
     def call(self, ip, node, command):
         """Call the store."""
         self.store.calls += 1
@@ -218,11 +228,13 @@
             self.store.route_reads += 1
         if ip in self.storeless:
             self.later(TIMEOUT_S, ip, node, self.failure(command, StoreFailure.TIMED_OUT))
+        elif ip in self.refused:
+            self.later(ANSWER_S, ip, node, self.failure(command, StoreFailure.THROTTLED))
         elif isinstance(command, WatchSubject):
             self.watches[(ip, command.subject)] = (node, command)
             self.answer_watches()
         elif isinstance(command, ProbeStore):
-            self.later(ANSWER_S, ip, node, StoreProbed(None))
+            self.later(ANSWER_S, ip, node, StoreProbed(None, self.store.revision))
         else:
             self.later(ANSWER_S, ip, node, self.store.read(command, self.now))
 
--- /dev/null
+++ b/features/steps/forwarding_leaving_steps.py
@@ -0,0 +1,112 @@
+"""Steps on back ends that leave, and on how soon every balancer knows it."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from forwarding_fleet import Fleet
+from forwarding_model import Harness, hear_readers, record
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from sloepond.core.forwarding.backend_records import BackendState
+from sloepond.core.forwarding.backends import BackendDirectory
+from sloepond.core.forwarding.events import PeerMessageReceived, Subject, TimerFired
+from sloepond.core.forwarding.peer_messages import (
+    Changes,
+    ChangesTold,
+    Confirmation,
+    KnownBackend,
+)
+from sloepond.core.forwarding.readers import Role
+
+SMALL_FLEET = 7
+SETTLED_S = 6.0
+LOSS = 0.02
+CAPACITY = 0.774
+"""Share of a core: the larger, the sooner a balancer claims to read."""
+LEAVING = 3
+"""Number of the back end that leaves."""
+PEER = "10.1.0.3"
+READERS = (11, 12, 13)
+"""Identities of the readers that confirm."""
+FLEET_PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=60)
+
+
+def knows_it_leaves(fleet, ip):
+    """Tell whether a balancer gives the leaving back end no new flow."""
+    backend = fleet.nodes[ip].backends.by_name(record(LEAVING).name)
+    return backend.state is not BackendState.READY
+
+
+@then(
+    "forwarding property: a balancer that the store serves knows within {seconds:g} seconds "
+    "that a back end leaves"
+)
+def served_knows(context, seconds):
+    @FLEET_PROPERTY
+    @for_all(st.integers(0, 9_999), st.floats(0.0, 0.9), st.sampled_from((0.01, 0.1, 0.4)))
+    def check(seed, since_probe_s, before_s):
+        fleet = Fleet(SMALL_FLEET, seed, loss=LOSS, capacity=CAPACITY)
+        fleet.run(SETTLED_S + since_probe_s)
+        served = next(ip for ip, node in fleet.nodes.items() if node.role is Role.LISTENER)
+        fleet.refuse(ip for ip in fleet.ips if ip != served)
+        fleet.run(before_s)
+        fleet.store.put(LEAVING, fleet.now, BackendState.LEAVING)
+        fleet.run(seconds)
+        assert knows_it_leaves(fleet, served), f"seed {seed}"
+
+    check()
+
+
+@given("a forwarding node whose list is complete up to revision {revision:d}")
+def complete_list(context, revision):
+    context.harness = Harness().configure(revision=revision)
+    hear_readers(context.harness)
+
+
+@when("a peer tells forwarding of a ready back end of revision {revision:d} that the list does not hold")
+def told_of_departed(context, revision):
+    context.told = record(LEAVING + 100, revision=revision)
+    told = (KnownBackend(context.told, 0.0),)
+    changes = Changes(7, None, revision - 1, revision, revision, told)
+    context.harness.handle(PeerMessageReceived(PEER, ChangesTold(changes)))
+
+
+@then("forwarding gives that back end no new flow")
+def no_new_flow(context):
+    backends = context.harness.node.backends
+    assert context.told.name not in [each.name for each in backends.candidates(context.told.service)]
+    assert backends.lately_departed(context.told.service, context.harness.now - 2.0) == []
+
+
+@given("a fresh forwarding node whose list of revision {revision:d} holds a back end that has left")
+def outdated_list(context, revision):
+    context.harness = Harness()
+    context.listed = tuple(record(number, revision=revision - number) for number in range(LEAVING + 2))
+    context.harness.configure(revision=revision + 9, backends=context.listed)
+    context.harness.commands.clear()
+
+
+@when("a reader that never knew that back end confirms all up to revision {revision:d}")
+def reader_confirms(context, revision):
+    harness = context.harness
+    directory = BackendDirectory()
+    directory.listed([each for each in context.listed if each.number != LEAVING], revision, harness.now)
+    context.begun = harness.now
+    context.asked_at = None
+    for number in range(1, 30):
+        changes = Changes(
+            7, None, revision, revision, directory.changes.latest, list_digest=directory.list_digest
+        )
+        confirmation = Confirmation(READERS[number % 3], 1.0, number, False, 0.0, changes)
+        harness.handle(PeerMessageReceived(PEER, confirmation))
+        harness.run_to(harness.now + 0.2, TimerFired())
+        if harness.reads(Subject.BACKENDS) and context.asked_at is None:
+            context.asked_at = harness.now
+
+
+@then("forwarding has asked for the whole list within {seconds:g} seconds")
+def asked_for_list(context, seconds):
+    assert context.asked_at is not None
+    assert context.asked_at - context.begun <= seconds, context.asked_at - context.begun
