A balancer that no reader confirms anything to asks the store itself in time

Cause: nothing bounded the age of what a listener knows. It counted readers heard within 2.0 s, not how old its knowledge was; then it waited for others' claims, 0.85 s a round, also where the store would have answered it at once. Where the readers are turned away by the store and the balancers that claim their place are too, one that is served learns of a drain after 2.8 to 3.4 s; the shortest bound is 3.0 s.

Change: at 0.55 to 0.75 of the time within which a change must be in force (setting of the deployment, 3.0 s where none is told) a balancer whose knowledge is unconfirmed probes the store, and reads what is old if it is answered; repeated with a doubling wait that grows with the fleet. While nothing is fresh only claims and confirmations of the last 0.7 s keep it from claiming, not readers that have fallen silent.

Parsing of ip:port stands once for the start, the store's client and the adapter.

--- a/features/steps/forwarding_platform_steps.py
+++ b/features/steps/forwarding_platform_steps.py
@@ -53,6 +53,7 @@
 bounds.cold_over=1.5
 bounds.cold_slack=5
 bounds.grace_s=6
+bounds.drain_ms=5000
 """
 CONFIGURATION = (
     b'{"version":7,"new":1,"routes":[{"name":"r-a","host":"198.18.0.1","path_prefix":"/8443/",'
@@ -152,6 +153,8 @@
     unlimited = parse_settings(SETTINGS.replace("bounds.cold", "bounds.warm"))
     assert unlimited.cold_slack_per_s is None
     assert parse_settings(SETTINGS.replace("bounds.grace", "bounds.later")).kill_after_s == 0.0
+    assert read.change_limit_s == 5.0
+    assert parse_settings(SETTINGS.replace("bounds.drain", "bounds.later")).change_limit_s == 0.0
 
 
 @then("platform documents become routes and back ends")
--- a/sloepond/core/forwarding/counters.py
+++ b/sloepond/core/forwarding/counters.py
@@ -43,6 +43,7 @@
     lists_differing: int = 0
     changes_missed: int = 0
     flows_placed_unconfirmed: int = 0
+    own_reads: int = 0
     store_reads: int = 0
     store_watches: int = 0
     store_probes: int = 0
--- a/sloepond/core/forwarding/dissemination.py
+++ b/sloepond/core/forwarding/dissemination.py
@@ -16,6 +16,7 @@
 from sloepond.core.forwarding.list_comparison import ListComparison
 from sloepond.core.forwarding.list_digest import NO_DIGEST
 from sloepond.core.forwarding.news import News
+from sloepond.core.forwarding.own_reads import CHANGE_LIMIT_S, OwnReads
 from sloepond.core.forwarding.peer_messages import (
     Changes,
     ChangesAsked,
@@ -26,7 +27,7 @@
     PeerMessage,
 )
 from sloepond.core.forwarding.peers import PeerTable
-from sloepond.core.forwarding.readers import ReaderElection, Role
+from sloepond.core.forwarding.readers import FRESH_S, ReaderElection, Role
 from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.core.forwarding.store_contact import StoreContact
 
@@ -46,6 +47,7 @@
     """Elects readers, sends and takes confirmations, catches up.
 
     :param followers: what is asked of the store itself.
+    :param change_limit_s: time within which a change must be in force.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         peers: PeerTable,
         counters: ForwardingCounters,
         random_source: random.Random,
+        change_limit_s: float = CHANGE_LIMIT_S,
     ) -> None:
         self.election = election
         self._followers = followers
@@ -64,6 +67,7 @@
         self._counters = counters
         self._random = random_source
         self._contact = StoreContact(random_source)
+        self._own_reads = OwnReads(change_limit_s, random.Random(election.identity))
         self._commands: list[Command] = []
         self._number = 0
         self._confirm_at = NEVER
@@ -96,6 +100,7 @@
         return min(
             self.election.next_deadline(),
             self._contact.next_deadline(self._wants_store),
+            self._own_read_at,
             self._confirm_at,
             self._pull_at,
             self._catch_up.next_deadline(),
@@ -104,6 +109,8 @@
     def on_time(self, now: float) -> None:
         """Do what is due."""
         self._review_role(now)
+        if now >= self._own_read_at and self._own_reads.is_due(self.age.confirmed_at, len(self._peers), now):
+            self._contact.request_probe(now)
         if self._contact.on_time(now, self._wants_store):
             self._commands.append(ProbeStore())
         if now >= self._confirm_at:
@@ -143,6 +150,13 @@
         """Whether reads and watches may be asked for; a store that refuses is probed first."""
         return self._contact.may_read
 
+    @property
+    def _own_read_at(self) -> float:
+        """When this balancer asks the store itself; a reader does so all the time."""
+        if self.election.is_reader or self.age.confirmed_at == -NEVER:
+            return NEVER
+        return self._own_reads.next_deadline(self.age.confirmed_at)
+
     @property
     def _wants_store(self) -> bool:
         return any(follower.next_deadline() < NEVER for follower in self._followers.values())
@@ -150,9 +164,12 @@
     def probe_ended(self, event: StoreProbed, now: float) -> None:
         """Take the end of a probe; one that failed means that the watches may hang."""
         self._contact.probe_ended()
+        is_own_read = self._own_reads.ended()
         if event.failure is None:
             self._note_store_revision(event.revision)
             self.store_answered(now)
+            if is_own_read:
+                self._read_what_is_old(now)
             return
         self._contact.failed(event.failure, now)
         self.election.store_failed(now)
@@ -160,6 +177,13 @@
             for follower in self._followers.values():
                 follower.distrust(now)
 
+    def _read_what_is_old(self, now: float) -> None:
+        """Read what no reader has confirmed lately: the store answers this balancer."""
+        for subject, follower in self._followers.items():
+            if not self.election.is_reader and self.age.of(subject, now) >= FRESH_S:
+                self._counters.own_reads += 1
+                follower.distrust(now)
+
     def confirmation_received(self, ip: str, message: Confirmation, now: float) -> None:
         """Take a confirmation or a claim, and pass a new one on."""
         self._heard_peer_at = now
--- a/sloepond/core/forwarding/knowledge_age.py
+++ b/sloepond/core/forwarding/knowledge_age.py
@@ -34,6 +34,13 @@
         """Return the age of the subject that was confirmed longest ago, at most `NEVER`."""
         return min(NEVER, max(self.of(subject, now) for subject in Subject))
 
+    @property
+    def confirmed_at(self) -> float:
+        """When the subject that was confirmed longest ago was confirmed, `-NEVER` for never."""
+        return min(
+            max(self._confirmed_at[subject], self._followers[subject].confirmed_at) for subject in Subject
+        )
+
     def is_fresh(self, now: float) -> bool:
         """Tell whether all subjects were confirmed lately."""
         return self.oldest(now) < FRESH_S
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -47,6 +47,7 @@
 from sloepond.core.forwarding.forwarder import Forwarder
 from sloepond.core.forwarding.latency import LatencyHistogram
 from sloepond.core.forwarding.news import News
+from sloepond.core.forwarding.own_reads import CHANGE_LIMIT_S
 from sloepond.core.forwarding.packets import Segment
 from sloepond.core.forwarding.peer_exchange import PeerExchange
 from sloepond.core.forwarding.peer_messages import Knowledge
@@ -78,6 +79,7 @@
     :param capacity: share of a core it may use.
     :param cold_limit: what bounds new flows of back ends that are slow from their start.
     :param kill_after_s: time from the request to stop after which the process is killed.
+    :param change_limit_s: time within which a change must be in force, 0 where the settings name none.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         capacity: float = 1.0,
         cold_limit: ColdLimit | None = None,
         kill_after_s: float = 0.0,
+        change_limit_s: float = 0.0,
     ) -> None:
         self.counters = ForwardingCounters()
         self.routes = RouteTable(random_source)
@@ -123,6 +126,7 @@
             peers,
             self.counters,
             random_source,
+            change_limit_s or CHANGE_LIMIT_S,
         )
         self._answers = StoreAnswers(
             self.routes,
--- a/sloepond/core/forwarding/readers.py
+++ b/sloepond/core/forwarding/readers.py
@@ -56,11 +56,13 @@
     """One reader, or one that claims to become one.
 
     :ivar number: number of the last confirmation heard.
+    :ivar heard_at: when that was.
     :ivar counts_until: time until which it counts without being heard again.
     """
 
     rank: float
     number: int
+    heard_at: float
     counts_until: float
 
 
@@ -108,7 +110,7 @@
         if known is not None and number <= known.number:
             return False
         lasts_s = CLAIM_LASTS_S if is_claim else READER_SILENT_S
-        self._readers[identity] = KnownReader(rank, number, now + lasts_s)
+        self._readers[identity] = KnownReader(rank, number, now, now + lasts_s)
         return True
 
     def is_among_best(self, identity: int, now: float) -> bool:
@@ -125,6 +127,10 @@
         """Return how many other readers there are as far as is known."""
         return sum(reader.counts_until > now for reader in self._readers.values())
 
+    def heard_lately(self, now: float) -> int:
+        """Return how many others have claimed or confirmed within the time that a claim lasts."""
+        return sum(now - reader.heard_at < CLAIM_LASTS_S for reader in self._readers.values())
+
     def store_failed(self, now: float) -> None:
         """Note that a call to the store has failed."""
         if self._failing_since is None:
@@ -165,7 +171,7 @@
             del self._readers[key]
 
     def _consider_claim(self, now: float, is_fresh: bool, peers: int) -> None:
-        heard = self.readers_heard(now)
+        heard = self.readers_heard(now) if is_fresh else self.heard_lately(now)
         may_claim_at = max(self._barred_until, self._started_at + START_S + START_S_PER_PEER * peers)
         if heard >= READERS or now < may_claim_at:
             self._claim_at = NEVER
--- a/sloepond/core/forwarding/store_contact.py
+++ b/sloepond/core/forwarding/store_contact.py
@@ -37,6 +37,7 @@
         self._is_reader = False
         self._probe_at = NEVER
         self._is_probing = False
+        self._is_requested = False
         self._failures = 0
         self._probed_revision = 0
 
@@ -48,6 +49,11 @@
         self._probed_revision = 0
         self._probe_at = now + INTERVAL_S
 
+    def request_probe(self, now: float) -> None:
+        """Probe once as soon as possible, whether this balancer reads or not."""
+        self._is_requested = True
+        self._probe_at = min(self._probe_at, now)
+
     def end(self) -> None:
         """Probe no longer, unless a read waits for it."""
         self._is_reader = False
@@ -57,7 +63,7 @@
 
         :param is_wanted: whether something is to be read.
         """
-        is_needed = self._is_reader or (is_wanted and not self.may_read)
+        is_needed = self._is_reader or self._is_requested or (is_wanted and not self.may_read)
         return self._probe_at if is_needed and not self._is_probing else NEVER
 
     def on_time(self, now: float, is_wanted: bool) -> bool:
@@ -101,3 +107,4 @@
     def probe_ended(self) -> None:
         """Note that the probe under way has ended, with an answer or without."""
         self._is_probing = False
+        self._is_requested = False
--- a/sloepond/platform/balancer.py
+++ b/sloepond/platform/balancer.py
@@ -37,6 +37,7 @@
         settings.capacity,
         None if slack_per_s is None else ColdLimit(settings.cold_factor, slack_per_s),
         settings.kill_after_s,
+        settings.change_limit_s,
     )
     logs = LogWriter(node.counters)
     logs.write(WriteLog(LogKind.STARTED, settings.name, f"zone={settings.zone} store={settings.store}"))
--- a/sloepond/platform/binding.py
+++ b/sloepond/platform/binding.py
@@ -9,7 +9,7 @@
 
 import _socket
 
-from sloepond.runtime.forwarding.process import BoundDescriptors, ForwardingSettings
+from sloepond.runtime.forwarding.process import BoundDescriptors, ForwardingSettings, split_address
 
 RECEIVE_BUFFER_BYTES = 1024 * 1024
 """Room for what comes while the rest is loaded, some hundreds of packets."""
@@ -36,7 +36,7 @@
     bound = _socket.socket(_socket.AF_INET, _socket.SOCK_DGRAM)
     bound.setblocking(False)
     bound.setsockopt(_socket.SOL_SOCKET, _socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    bound.bind(_endpoint(address))
+    bound.bind(split_address(address))
     return bound.detach()
 
 
@@ -52,11 +52,6 @@
     listener = _socket.socket(_socket.AF_INET, _socket.SOCK_STREAM)
     listener.setsockopt(_socket.SOL_SOCKET, _socket.SO_REUSEADDR, 1)
     listener.setblocking(False)
-    listener.bind(_endpoint(address))
+    listener.bind(split_address(address))
     listener.listen(BACKLOG)
     return listener.detach()
-
-
-def _endpoint(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/sloepond/platform/settings.py
+++ b/sloepond/platform/settings.py
@@ -46,6 +46,7 @@
         cold_factor=_number(fields, "bounds.cold_over", 1.0) or 1.0,
         cold_slack_per_s=_number(fields, "bounds.cold_slack", None),
         kill_after_s=_number(fields, "bounds.grace_s", 0.0) or 0.0,
+        change_limit_s=(_number(fields, "bounds.drain_ms", None) or 0.0) / 1000.0,
     )
 
 
--- a/sloepond/runtime/forwarding/process.py
+++ b/sloepond/runtime/forwarding/process.py
@@ -11,6 +11,15 @@
     import socket
 
 
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of `ip:port`.
+
+    :raises ValueError: where there is no port.
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 class ForwardingSettings:
     """What a forwarding balancer needs to know at its start; not changed later.
 
@@ -27,11 +36,12 @@
     :ivar cold_factor: times what a back end is said to bear just after its start, it may be given.
     :ivar cold_slack_per_s: new flows a second added to that, None where nothing limits them.
     :ivar kill_after_s: time from the request to stop after which the process is killed, 0 where not told.
+    :ivar change_limit_s: time within which a change must be in force, 0 where not told.
     """
 
     __slots__ = (
         "name", "zone", "ip", "edge", "readiness", "store", "metrics", "peer_port", "seeds", "capacity",
-        "regions", "cold_factor", "cold_slack_per_s", "kill_after_s",
+        "regions", "cold_factor", "cold_slack_per_s", "kill_after_s", "change_limit_s",
     )  # fmt: skip
 
     def __init__(
@@ -51,6 +61,7 @@
         cold_factor: float = 1.0,
         cold_slack_per_s: float | None = None,
         kill_after_s: float = 0.0,
+        change_limit_s: float = 0.0,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -66,6 +77,7 @@
         self.cold_factor = cold_factor
         self.cold_slack_per_s = cold_slack_per_s
         self.kill_after_s = kill_after_s
+        self.change_limit_s = change_limit_s
 
     def differences(self, other: ForwardingSettings) -> tuple[str, ...]:
         """Return the names of the fields that are not alike."""
--- a/sloepond/runtime/forwarding/store_client.py
+++ b/sloepond/runtime/forwarding/store_client.py
@@ -19,6 +19,7 @@
 from sloepond.runtime.forwarding.event_loop import EventLoop, sleep_until
 from sloepond.runtime.forwarding.http_client import HttpClient
 from sloepond.runtime.forwarding.http_exchange import HttpFailure, HttpResponse
+from sloepond.runtime.forwarding.process import split_address
 from sloepond.runtime.forwarding.store_pages import PAGE_RETRIES, PagedRead, store_failure
 
 SILENCE_S = 0.7
@@ -37,13 +38,13 @@
     def __init__(self, loop: EventLoop, address: str, codec: StoreCodec) -> None:
         self._loop = loop
         self._codec = codec
-        self._client = HttpClient(loop, _endpoint(address))
+        self._client = HttpClient(loop, Endpoint(*split_address(address)))
         self.bytes_received = 0
 
     def move(self, address: str) -> None:
         """Call the store at another address from now on."""
         self._client.close()
-        self._client = HttpClient(self._loop, _endpoint(address))
+        self._client = HttpClient(self._loop, Endpoint(*split_address(address)))
 
     async def read(self, command: ReadSubject, heard: Callable[[], None]) -> StoreEvent:
         """Read everything of a subject.
@@ -86,8 +87,3 @@
         if isinstance(answer, HttpResponse):
             self.bytes_received += len(answer.body)
         return answer
-
-
-def _endpoint(address: str) -> Endpoint:
-    host, _, port = address.rpartition(":")
-    return Endpoint(host, int(port))
