A list of back ends counts as complete only where it is the readers' list

Cause: a revision stood for what was not known. A list counted as complete up to a reader's revision because the reader named no later change, though one that had started lately never heard of what had left before; a first list that may be stale was passed on as complete from its youngest entry on; and a late word of a peer, or an answer of the store that another one had overtaken, listed a back end again that a complete list no longer held. Nothing compared the lists, so each error lasted.

Change: confirmations carry a 64-bit digest of the list. Whoever lacks what came before knows all only if its digest is the same, else it asks for changes and then reads; at one revision with another digest for 0.4 s the list is read anew, with doubling patience. What an older teller lists and a later complete list does not hold has left. A read for doubt is not called off by later gossip. Peers are told whether a back end that is gone had said that it leaves, so it is no last resort for a process that started later. A reader that doubts what it knows confirms nothing until it has read.

Scenarios: fail before, pass now; that of the last resort cannot be told to the code before, which gives out the departed back end when told so its way.

--- a/features/forwarding/leaving_back_ends.feature
+++ b/features/forwarding/leaving_back_ends.feature
@@ -37,3 +37,23 @@
     Given a fresh forwarding node whose list of revision 133 holds a back end that has left
     When a reader that never knew that back end confirms all up to revision 144
     Then forwarding has asked for the whole list within 1.5 seconds
+
+  Scenario: An answer of the store that a later one has overtaken brings nothing back
+    A watch was answered just before a balancer slept; the list that it read as it woke, without
+    the back end, was there first.  The answer to the watch then listed the back end again:
+      22.777 backend_changed list changed=2 listed=8 rev=122
+      23.486 backend_changed i-00000067 state=ready rev=118
+    Given a forwarding node whose list is complete up to revision 125
+    When a watch answers late and tells of a ready back end of revision 118
+    Then forwarding gives that back end no new flow
+
+  Scenario: A back end that had said that it leaves is no last resort for one who heard of it late
+    A balancer that starts after a back end has left is told of it for the sake of its open flows,
+    with the state it has then, gone.  Where its service had no other, new flows went to back ends
+    that had vanished without a word; one that had said that it leaves counted as such.
+    Given a forwarding node whose list is complete up to revision 125
+    When a peer tells forwarding of the only back end of a service, which said that it leaves and is gone
+    Then forwarding gives that back end no new flow
+
+  Scenario: Lists have one digest exactly where they hold the same entries
+    Then forwarding property: two lists have one digest where they hold the same entries, and else not
--- a/features/steps/forwarding_leaving_steps.py
+++ b/features/steps/forwarding_leaving_steps.py
@@ -11,7 +11,8 @@
 
 from sloepond.core.forwarding.backend_records import BackendState
 from sloepond.core.forwarding.backends import BackendDirectory
-from sloepond.core.forwarding.events import PeerMessageReceived, Subject, TimerFired
+from sloepond.core.forwarding.events import BackendsChanged, PeerMessageReceived, Subject, TimerFired
+from sloepond.core.forwarding.list_digest import NO_DIGEST
 from sloepond.core.forwarding.peer_messages import (
     Changes,
     ChangesTold,
@@ -30,6 +31,7 @@
 PEER = "10.1.0.3"
 READERS = (11, 12, 13)
 """Identities of the readers that confirm."""
+LIST_PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=100)
 FLEET_PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=60)
 
 
@@ -73,6 +75,19 @@
     context.harness.handle(PeerMessageReceived(PEER, ChangesTold(changes)))
 
 
+@when("a watch answers late and tells of a ready back end of revision {revision:d}")
+def watch_overtaken(context, revision):
+    context.told = record(LEAVING + 100, revision=revision)
+    context.harness.handle(BackendsChanged(revision, (context.told,)))
+
+
+@when("a peer tells forwarding of the only back end of a service, which said that it leaves and is gone")
+def told_of_left(context):
+    context.told = record(LEAVING + 100, "alone", revision=130, state=BackendState.DEPARTED)
+    told = (KnownBackend(context.told, 0.5, said_leaving=True),)
+    context.harness.handle(PeerMessageReceived(PEER, ChangesTold(Changes(7, None, 125, 130, 130, told))))
+
+
 @then("forwarding gives that back end no new flow")
 def no_new_flow(context):
     backends = context.harness.node.backends
@@ -110,3 +125,25 @@
 def asked_for_list(context, seconds):
     assert context.asked_at is not None
     assert context.asked_at - context.begun <= seconds, context.asked_at - context.begun
+
+
+@then("forwarding property: two lists have one digest where they hold the same entries, and else not")
+def digests_tell(context):
+    entries = st.dictionaries(st.integers(1, 40), st.integers(1, 60), max_size=20)
+
+    @LIST_PROPERTY
+    @for_all(entries, entries, st.randoms(use_true_random=False))
+    def check(first, second, chance):
+        one, other = BackendDirectory(), BackendDirectory()
+        for directory, listed in ((one, first), (other, second)):
+            order = [*listed.items()]
+            chance.shuffle(order)
+            for number, revision in order:
+                directory.put(record(number, revision=revision), 1.0)
+        assert (one.list_digest == other.list_digest) == (first == second)
+        assert NO_DIGEST not in (one.list_digest, other.list_digest)
+        one.listed([record(number, revision=at) for number, at in second.items()], 100, 2.0)
+        newer = all(first.get(number, 0) <= at for number, at in second.items())
+        assert (one.list_digest == other.list_digest) >= newer
+
+    check()
--- a/features/steps/forwarding_reachability_steps.py
+++ b/features/steps/forwarding_reachability_steps.py
@@ -25,7 +25,7 @@
 )
 from sloepond.core.forwarding.flow_resets import RESETS_A_STEP
 from sloepond.core.forwarding.packets import Refusal, last_segment
-from sloepond.core.forwarding.peer_messages import BackendUnreachable, Heartbeat
+from sloepond.core.forwarding.peer_messages import BackendUnreachable, Heartbeat, KnownBackend
 from sloepond.core.forwarding.reachability import CHECKS_PER_S
 from sloepond.runtime.forwarding.event_loop import EventLoop
 from sloepond.runtime.forwarding.reachability_check import CHECK_S, ReachabilityCheck
@@ -176,7 +176,7 @@
     for order in itertools.permutations([(old, 0.0), (heir, 0.0), (departed, 1.0)]):
         directory = BackendDirectory()
         for entry, departed_s in order:
-            directory.take(entry, departed_s, 10.0)
+            directory.take(KnownBackend(entry, departed_s), 0, 10.0)
         assert directory.by_name(old.name).is_unreachable(10.0)
         assert not directory.by_name(heir.name).is_unreachable(10.0)
 
--- a/features/steps/forwarding_readers_steps.py
+++ b/features/steps/forwarding_readers_steps.py
@@ -251,7 +251,7 @@
             for changes in parts:
                 if chance.random() < 0.3:
                     continue
-                taken.take_backends(changes, float(at))
+                taken.take_backends(changes, known if changes.revision < known else 0, float(at))
                 known = taken.advanced(changes, known)
                 for backend in reader:
                     if backend.revision <= known:
--- a/sloepond/core/forwarding/backend.py
+++ b/sloepond/core/forwarding/backend.py
@@ -8,6 +8,7 @@
 from sloepond.core.forwarding.backend_records import BackendRecord, BackendState, Endpoint
 from sloepond.core.forwarding.latency_estimate import LatencyEstimate
 from sloepond.core.forwarding.packets import Refusal
+from sloepond.core.forwarding.peer_messages import KnownBackend
 
 TOKEN_BITS = 32
 TOKEN_MASK = (1 << TOKEN_BITS) - 1
@@ -113,8 +114,12 @@
         """Return seconds since it left the list, 0 if it is listed."""
         return now - self.departed_at if self.state is BackendState.DEPARTED else 0.0
 
+    def as_known(self, now: float) -> KnownBackend:
+        """Return what a peer is told of this back end."""
+        return KnownBackend(self.record(now), self.departed_s(now), self.said_leaving)
+
     def record(self, now: float) -> BackendRecord:
-        """Return what a peer needs to know this back end."""
+        """Return this back end as it would be listed, with the state it has here."""
         return BackendRecord(
             self.name,
             self.number,
--- a/sloepond/core/forwarding/backends.py
+++ b/sloepond/core/forwarding/backends.py
@@ -4,16 +4,22 @@
 
 from collections.abc import Iterable, Iterator, Sequence
 
+import msgspec
+
 from sloepond.core.deadlines import NEVER
 from sloepond.core.forwarding.backend import ForwardingBackend
 from sloepond.core.forwarding.backend_records import BackendRecord, BackendState, Endpoint
 from sloepond.core.forwarding.change_index import ChangeIndex
 from sloepond.core.forwarding.list_digest import ListDigest
+from sloepond.core.forwarding.peer_messages import KnownBackend
 from sloepond.core.forwarding.places import ANYWHERE, PlaceRules
 
 DEPARTED_MEMORY_S = 90.0
 """How long a departed back end keeps its token: the life of a flow and a margin.
 A back end may serve on after it has left the list."""
+UNNOTICED_DEPARTURE_S = 30.0
+"""How long ago a back end counts as departed of which only that is known: long enough that it is
+given no new flow where no other is left, short enough that its flows are still forwarded."""
 
 
 class BackendDirectory:
@@ -108,12 +114,16 @@
             if backend.has_vanished and backend.departed_at >= since and self._may_take_flows(backend)
         ]
 
-    def put(self, record: BackendRecord, now: float) -> bool:
-        """Take a record; an older one than the one held changes nothing.
+    def put(self, record: BackendRecord, now: float, complete_to: int = 0) -> bool:
+        """Take a record; an older one than the one held, or than the list, changes nothing.
 
+        :param complete_to: revision up to which all changes are known here, if that is beyond what
+            the sender of the record knows.
         :returns: whether anything changed.
         """
         backend = self._by_name.get(record.name)
+        if backend is None and self._has_left(record, complete_to):
+            return False
         if backend is None or record.revision > backend.revision:
             self._digest.entered(record.name, record.number, record.revision)
         if backend is None:
@@ -126,26 +136,51 @@
         self._changed(record.name, record.service, record.revision)
         return True
 
-    def take(self, record: BackendRecord, departed_s: float, now: float) -> bool:
-        """Take a record as a peer knows it, with the state it has there.
+    def take(self, known: KnownBackend, complete_to: int, now: float) -> bool:
+        """Take a back end as a peer knows it, with the state it has there.
 
-        :param departed_s: seconds since it left the list, 0 if it is listed.
+        :param complete_to: revision up to which all changes are known here, if that is beyond what
+            the peer knows.
         :returns: whether anything changed.
         """
+        record = known.record
         if record.name not in self._by_name:
-            return self.put_known(record, departed_s, now)
+            return self.put_known(known, complete_to, now)
         if record.state is BackendState.DEPARTED:
-            return self.depart(record.name, record.revision, now - departed_s)
-        return self.put(record, now)
+            changed = self.depart(record.name, record.revision, now - known.departed_s)
+        else:
+            changed = self.put(record, now)
+        backend = self._by_name[record.name]
+        backend.said_leaving = backend.said_leaving or known.said_leaving
+        return changed
+
+    def _has_left(self, record: BackendRecord, complete_to: int) -> bool:
+        """Tell whether a back end that is unknown here has left the list, though a record lists it.
 
-    def put_known(self, record: BackendRecord, departed_s: float, now: float) -> bool:
-        """Take a record from a peer: it adds what is unknown here, and changes nothing else."""
+        One that is not in a list which is complete up to a later revision has left it, whoever says
+        otherwise: words of it come late, from a balancer that has slept or was cut off, and in an
+        answer of the store that another one has overtaken.
+        """
+        return self.is_listed and record.revision <= complete_to
+
+    def put_known(self, known: KnownBackend, complete_to: int, now: float) -> bool:
+        """Take a back end from a peer: it adds what is unknown here, and changes nothing else.
+
+        :param complete_to: revision up to which all changes are known here.
+        """
+        record, departed_s = known.record, known.departed_s
         if record.name in self._by_name:
             return False
+        is_listed = record.state is not BackendState.DEPARTED
+        if is_listed and self._has_left(record, complete_to):
+            is_listed = False
+            record = msgspec.structs.replace(record, state=BackendState.DEPARTED)
+            departed_s = UNNOTICED_DEPARTURE_S
         backend = ForwardingBackend(record, now)
         backend.departed_at = now - departed_s
+        backend.said_leaving = backend.said_leaving or known.said_leaving
         self._add(backend)
-        if record.state is not BackendState.DEPARTED:
+        if is_listed:
             self._digest.entered(record.name, record.number, record.revision)
         self._changed(record.name, record.service, record.revision)
         return True
@@ -165,13 +200,16 @@
         self._changed(name, backend.service, revision)
         return True
 
-    def listed(self, records: Sequence[BackendRecord], revision: int, now: float) -> int:
+    def listed(
+        self, records: Sequence[BackendRecord], revision: int, now: float, complete_to: int = 0
+    ) -> int:
         """Take the whole list as of a revision: who is missing in it has departed.
 
+        :param complete_to: revision up to which all changes are known here, if that is beyond the list.
         :returns: number of back ends that changed.
         """
         names = {record.name for record in records}
-        changed = sum(self.put(record, now) for record in records)
+        changed = sum(self.put(record, now, complete_to) for record in records)
         missing = [name for name in self._by_name if name not in names]
         return changed + sum(self.depart(name, revision, now) for name in missing)
 
--- a/sloepond/core/forwarding/catch_up.py
+++ b/sloepond/core/forwarding/catch_up.py
@@ -11,6 +11,7 @@
 from sloepond.core.forwarding.counters import ForwardingCounters
 from sloepond.core.forwarding.events import Subject
 from sloepond.core.forwarding.follower import Follower
+from sloepond.core.forwarding.list_digest import NO_DIGEST
 from sloepond.core.forwarding.news import News
 from sloepond.core.forwarding.peer_messages import Changes, ChangesAsked
 from sloepond.core.forwarding.peers import PeerTable
@@ -75,11 +76,20 @@
         """Note what a peer knows and this balancer does not, if it is so."""
         told = self._told
         told[Subject.ROUTES] = max(told[Subject.ROUTES], changes.routes_version)
-        told[Subject.BACKENDS] = max(told[Subject.BACKENDS], min(changes.changed_at, changes.revision))
+        told[Subject.BACKENDS] = max(told[Subject.BACKENDS], self._told_of_backends(changes))
         for subject in Subject:
             if self.is_behind(subject) and subject not in self._missing:
                 self._missing[subject] = Missing(ip, now + CATCH_UP_S[0], self.known(subject))
 
+    def _told_of_backends(self, changes: Changes) -> int:
+        """Return the revision up to which back ends have changed as far as a peer tells.
+
+        A peer that holds another list knows of some change up to its own revision, though it may
+        not know of which.
+        """
+        is_other_list = changes.list_digest not in (NO_DIGEST, self._news.list_digest)
+        return changes.revision if is_other_list else min(changes.changed_at, changes.revision)
+
     def brings_news(self, changes: Changes) -> bool:
         """Tell whether changes that were told hold something unknown here."""
         newest = min(changes.changed_at, changes.revision)
--- a/sloepond/core/forwarding/dissemination.py
+++ b/sloepond/core/forwarding/dissemination.py
@@ -5,7 +5,7 @@
 import random
 
 from sloepond.core.deadlines import NEVER
-from sloepond.core.forwarding.catch_up import CatchUp
+from sloepond.core.forwarding.catch_up import READ_SPREAD_S, CatchUp
 from sloepond.core.forwarding.commands import Command, FetchRoutes, LogKind, ProbeStore, SendToPeer, WriteLog
 from sloepond.core.forwarding.counters import ForwardingCounters
 from sloepond.core.forwarding.evacuated_zones import EvacuatedZones
@@ -317,7 +317,7 @@
         self._take_routes(ip, changes.route_delta, now)
         if self._news.take_evacuated(changes, now):
             self._log_evacuated(ip, changes.evacuated)
-        changed = self._news.take_backends(changes, now)
+        changed = self._news.take_backends(changes, follower.known_beyond(changes.revision), now)
         self._changed.extend(changed)
         revision = self._news.advanced(changes, follower.revision)
         if revision > follower.revision:
@@ -330,14 +330,18 @@
                 self.age.confirmed(subject, now - age_s)
 
     def _compare_lists(self, ip: str, changes: Changes, now: float) -> None:
-        """See whether a reader that knows as much holds the same list of back ends."""
+        """Read the list anew if readers that know as much hold another one.
+
+        Whoever knows less asks for what it lacks; of two that take their lists for complete up to
+        one revision, only the store can tell which one is wrong.
+        """
         known = self._followers[Subject.BACKENDS].revision
-        if changes.list_digest == NO_DIGEST or known > changes.revision:
+        if changes.list_digest == NO_DIGEST or known != changes.revision:
             return
         is_alike = changes.list_digest == self._news.list_digest
         if not self._comparison.compare(is_alike, now):
             return
-        self._comparison.begin_again()
+        self._followers[Subject.BACKENDS].doubt(now + READ_SPREAD_S * self._random.random())
         self._counters.lists_differing += 1
         detail = f"from={ip} rev={known} told_rev={changes.revision}"
         self._commands.append(WriteLog(LogKind.LIST_DIFFERS, "backends", detail))
--- a/sloepond/core/forwarding/follower.py
+++ b/sloepond/core/forwarding/follower.py
@@ -63,6 +63,7 @@
         self._next_call = 0.0
         self._confirm_at = -NEVER
         self._was_broken = False
+        self._is_doubted = False
         self._watch_started_at = -NEVER
         self._catches_up_until = -NEVER
         self.is_watcher = False
@@ -90,6 +91,13 @@
         """The store's revision up to which changes are known."""
         return self._revision
 
+    def known_beyond(self, revision: int) -> int:
+        """Return the revision up to which changes are known where that is beyond another one, else 0.
+
+        :param revision: up to which whoever tells something knows.
+        """
+        return self._revision if revision < self._revision else 0
+
     def next_deadline(self) -> float:
         """Return when `on_time` has something to do."""
         read_at = NEVER if self._is_reading else max(self._confirm_at, self._next_call)
@@ -124,7 +132,7 @@
         """Note that a peer has told all changes up to a revision."""
         self._revision = max(self._revision, revision)
         self.heard_at = now
-        if not self.is_watcher:
+        if not self.is_watcher and not self._is_doubted:
             self._confirm_at = NEVER
             self.failures = 0
 
@@ -156,6 +164,7 @@
         self._was_broken = False
         if not self._is_reading_stale:
             self.confirmed_at = now
+            self._is_doubted = False
 
     def _confirm_interval(self) -> float:
         if not self.is_watcher:
@@ -184,7 +193,7 @@
             self._is_watching = False
         else:
             self._is_reading = False
-        if not self.is_watcher and self.has_answered:
+        if not self.is_watcher and not self._is_doubted and self.has_answered:
             self._confirm_at = NEVER
             return
         wait_s = RETRY_S[min(self.failures, len(RETRY_S) - 1)]
@@ -198,5 +207,16 @@
         self._next_call = now + wait_s * (0.5 + self._random.random())
 
     def distrust(self, now: float) -> None:
-        """Read everything as soon as possible: what is known may be old."""
+        """Read everything as soon as possible: what is known may be old.
+
+        A watch under way proves nothing of what came before, so a reader confirms nothing until then.
+        A listener needs no read if peers tell it more meanwhile.
+        """
         self._confirm_at = min(self._confirm_at, now)
+        if self.is_watcher:
+            self._is_trusted = False
+
+    def doubt(self, now: float) -> None:
+        """Read everything as soon as possible, whatever peers tell meanwhile: something is wrong."""
+        self._is_doubted = True
+        self.distrust(now)
--- a/sloepond/core/forwarding/list_comparison.py
+++ b/sloepond/core/forwarding/list_comparison.py
@@ -5,8 +5,10 @@
 from sloepond.core.deadlines import NEVER
 
 DIFFERS_S = 0.4
-"""How long all digests heard differ before the list counts as another one: a change travels to
-all in about 0.05 s, and one that was lost is asked for after 0.1 s and again after 0.3 s."""
+"""How long all digests heard differ before the list is read anew: a change travels to all in about
+0.05 s, and one that was lost is asked for after 0.1 s and again after 0.3 s."""
+LONGEST_PATIENCE_S = 25.0
+"""The same after some reads that did not help: the readers' list may be the wrong one."""
 
 
 class ListComparison:
@@ -14,15 +16,20 @@
 
     def __init__(self) -> None:
         self._differs_since = NEVER
+        self._patience_s = DIFFERS_S
 
     def compare(self, is_alike: bool, now: float) -> bool:
-        """Take one comparison; return whether there has been none alike for long."""
+        """Take one comparison; return whether the list is to be read anew.
+
+        Each read that does not help doubles the time until the next one.
+        """
         if is_alike:
             self._differs_since = NEVER
+            self._patience_s = DIFFERS_S
             return False
         self._differs_since = min(self._differs_since, now)
-        return now - self._differs_since >= DIFFERS_S
-
-    def begin_again(self) -> None:
-        """Forget what was compared: the list was read anew."""
+        if now - self._differs_since < self._patience_s:
+            return False
         self._differs_since = NEVER
+        self._patience_s = min(LONGEST_PATIENCE_S, 2.0 * self._patience_s)
+        return True
--- a/sloepond/core/forwarding/list_digest.py
+++ b/sloepond/core/forwarding/list_digest.py
@@ -11,7 +11,9 @@
 DIGEST_BITS = 64
 DIGEST_MASK = (1 << DIGEST_BITS) - 1
 NO_DIGEST = 0
-"""Stands where a sender tells no digest; the digest of an empty list is the same."""
+"""Stands where a sender tells no digest."""
+EMPTY_DIGEST = 0x6A09E667F3BCC908
+"""Digest of an empty list: any number but `NO_DIGEST`."""
 _NUMBER_FACTOR = 0x9E3779B97F4A7C15
 _REVISION_FACTOR = 0xBF58476D1CE4E5B9
 _MIXING_FACTOR = 0x94D049BB133111EB
@@ -33,7 +35,7 @@
     """
 
     def __init__(self) -> None:
-        self.value = NO_DIGEST
+        self.value = EMPTY_DIGEST
         self._entries: dict[str, ListedEntry] = {}
 
     def entered(self, name: str, number: int, revision: int) -> None:
--- a/sloepond/core/forwarding/news.py
+++ b/sloepond/core/forwarding/news.py
@@ -15,6 +15,7 @@
 
 from sloepond.core.forwarding.backends import BackendDirectory
 from sloepond.core.forwarding.evacuations import Evacuations
+from sloepond.core.forwarding.list_digest import NO_DIGEST
 from sloepond.core.forwarding.peer_messages import Changes, KnownBackend
 from sloepond.core.forwarding.route_delta import RouteDelta
 from sloepond.core.forwarding.route_table import RouteTable
@@ -64,8 +65,7 @@
             delta = self._routes.history.latest_to(self._routes.version)
         parts = tuple(self._parts(base, revision, now))
         if not parts:
-            parts = (self._changes(None, revision, revision),)
-        parts = (*parts[:-1], msgspec.structs.replace(parts[-1], list_digest=self._backends.list_digest))
+            parts = (self._changes(None, revision, revision, is_all=True),)
         return (msgspec.structs.replace(parts[0], route_delta=delta), *parts[1:])
 
     def answer(self, routes_version: int, revision: int, own_revision: int, now: float) -> list[Changes]:
@@ -95,15 +95,22 @@
         """Take the evacuated zones if they are newer; return whether they differ."""
         return self._evacuations.take(changes.evacuated, now)
 
-    def take_backends(self, changes: Changes, now: float) -> list[KnownBackend]:
-        """Take changed back ends; return those that were news."""
-        return [
-            known for known in changes.backends if self._backends.take(known.record, known.departed_s, now)
-        ]
+    def take_backends(self, changes: Changes, complete_to: int, now: float) -> list[KnownBackend]:
+        """Take changed back ends; return those that were news.
+
+        :param complete_to: revision up to which all changes are known here.
+        """
+        return [known for known in changes.backends if self._backends.take(known, complete_to, now)]
 
     def advanced(self, changes: Changes, revision: int) -> int:
-        """Return the revision up to which all is known after changes were taken."""
-        knows_base = revision >= changes.base_revision or revision >= changes.changed_at
+        """Return the revision up to which all is known after changes were taken.
+
+        Whoever lacks what came before them knows all the same if its list is that of the sender.
+        That the sender names no later change does not tell it: a balancer that has started lately
+        never heard of what had left the list before.
+        """
+        is_list_alike = changes.list_digest == self.list_digest
+        knows_base = revision >= changes.base_revision or is_list_alike
         return max(revision, changes.revision) if knows_base else revision
 
     def _repeated_from(self, revision: int) -> int:
@@ -123,17 +130,27 @@
             part = known[begin : begin + MAXIMUM_BACKENDS]
             rest = known[begin + MAXIMUM_BACKENDS :]
             end = max(base, min(revision, rest[0].revision - 1)) if rest else revision
-            told = tuple(KnownBackend(backend.record(now), backend.departed_s(now)) for backend in part)
-            yield self._changes(None, base, end, told)
+            told = tuple(backend.as_known(now) for backend in part)
+            yield self._changes(None, base, end, told, is_all=not rest)
             base = end
 
     def _about_routes(self, delta: RouteDelta | None, revision: int) -> Changes:
-        return self._changes(delta, revision, revision)
+        return self._changes(delta, revision, revision, is_all=True)
 
     def _changes(
-        self, delta: RouteDelta | None, base: int, revision: int, told: tuple[KnownBackend, ...] = ()
+        self,
+        delta: RouteDelta | None,
+        base: int,
+        revision: int,
+        told: tuple[KnownBackend, ...] = (),
+        *,
+        is_all: bool,
     ) -> Changes:
-        """Return a message about back ends between two revisions; it always holds the evacuated zones."""
+        """Return a message about back ends between two revisions; it always holds the evacuated zones.
+
+        :param is_all: whether all is known up to `revision` and no further.
+        """
         latest = self._backends.changes.latest
         known = self._evacuations.known
-        return Changes(self._routes.version, delta, base, revision, latest, told, known)
+        digest = self.list_digest if is_all else NO_DIGEST
+        return Changes(self._routes.version, delta, base, revision, latest, told, known, digest)
--- a/sloepond/core/forwarding/peer_exchange.py
+++ b/sloepond/core/forwarding/peer_exchange.py
@@ -175,9 +175,7 @@
 
     def knowledge(self, now: float) -> Knowledge:
         """Return all that is known here."""
-        backends = tuple(
-            KnownBackend(backend.record(now), backend.departed_s(now)) for backend in self._backends
-        )
+        backends = tuple(backend.as_known(now) for backend in self._backends)
         return Knowledge(
             self._routes.in_force,
             self._dissemination.age.of(Subject.ROUTES, now),
@@ -192,7 +190,8 @@
         knowledge = event.knowledge
         is_first = not self._backends.is_listed
         is_newer = self._routes.take(knowledge.routes)
-        added = sum(self._backends.take(known.record, known.departed_s, now) for known in knowledge.backends)
+        complete_to = self._followers[Subject.BACKENDS].known_beyond(knowledge.revision)
+        added = sum(self._backends.take(known, complete_to, now) for known in knowledge.backends)
         self._evacuations.take(knowledge.evacuated, now)
         if is_first:
             self._backends.list_begins(knowledge.revision)
@@ -249,10 +248,12 @@
     def _answer_token(self, ip: str, token: int, now: float) -> None:
         backend = self._backends.by_token(token)
         if backend is not None:
-            self._send([ip], TokenFound(backend.record(now), backend.departed_s(now)))
+            known = backend.as_known(now)
+            self._send([ip], TokenFound(known.record, known.departed_s, known.said_leaving))
 
     def _token_found(self, message: TokenFound, now: float) -> None:
-        if self._backends.put_known(message.record, message.departed_s, now):
+        known = KnownBackend(message.record, message.departed_s, message.said_leaving)
+        if self._backends.put_known(known, self._followers[Subject.BACKENDS].revision, now):
             self._counters.tokens_found_by_peers += 1
         backend = self._backends.by_name(message.record.name)
         if backend is None:
--- a/sloepond/core/forwarding/peer_messages.py
+++ b/sloepond/core/forwarding/peer_messages.py
@@ -39,17 +39,24 @@
     """The back end that has a token.
 
     :ivar departed_s: seconds since it left the list, 0 if it is listed.
+    :ivar said_leaving: whether it had said that it leaves.
     """
 
     record: BackendRecord
     departed_s: float
+    said_leaving: bool = False
 
 
 class KnownBackend(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """A back end and how long ago it left the list."""
+    """A back end as a balancer knows it.
+
+    :ivar departed_s: seconds since it left the list, 0 if it is listed.
+    :ivar said_leaving: whether it had said that it leaves.
+    """
 
     record: BackendRecord
     departed_s: float
+    said_leaving: bool = False
 
 
 class Changes(msgspec.Struct, frozen=True, array_like=True):
--- a/sloepond/core/forwarding/store_answers.py
+++ b/sloepond/core/forwarding/store_answers.py
@@ -70,10 +70,10 @@
             follower.watched(event.revision, self._now)
         elif isinstance(event, BackendsRead):
             revision = _sure_revision(event, follower)
-            self._take_list(event, revision)
+            self._take_list(event, revision, follower.known_beyond(revision))
             follower.read(revision, self._now)
         else:
-            self._take_changes(event)
+            self._take_changes(event, follower.known_beyond(event.revision))
             follower.watched(event.revision, self._now)
         self._dissemination.store_answered(self._now)
 
@@ -102,9 +102,17 @@
             f"from=store rev={evacuated.revision}",
         )
 
-    def _take_list(self, event: BackendsRead, revision: int) -> None:
-        changed = self._backends.listed(event.records, revision, self._now)
-        self._backends.list_begins(revision)
+    def _take_list(self, event: BackendsRead, revision: int, complete_to: int) -> None:
+        """Take the whole list.
+
+        What had left it before the answer was never seen here, so peers that know less are told
+        changes from the store's revision at the answer on, also where the list may be older.
+
+        :param revision: revision up to which the list surely holds all changes.
+        :param complete_to: revision up to which all changes are known here, if that is beyond the list.
+        """
+        changed = self._backends.listed(event.records, revision, self._now, complete_to)
+        self._backends.list_begins(event.revision)
         self._counters.backend_changes += changed
         if changed:
             self._dissemination.news_taken(self._now)
@@ -114,10 +122,14 @@
                 f"changed={changed} listed={len(event.records)} rev={revision}",
             )
 
-    def _take_changes(self, event: BackendsChanged) -> None:
+    def _take_changes(self, event: BackendsChanged, complete_to: int) -> None:
+        """Take what a watch has told.
+
+        :param complete_to: revision up to which all changes are known here, if that is beyond the answer.
+        """
         for change in event.changes:
             if isinstance(change, BackendRecord):
-                changed = self._backends.put(change, self._now)
+                changed = self._backends.put(change, self._now, complete_to)
                 state = change.state.name.lower()
             else:
                 changed = self._backends.depart(change.name, change.revision, self._now)
