Failing: readers go on confirming beside a watch that tells nothing

Two scenarios that fail: a fleet whose watches lose their answers without a word knows of no drain after 2.5 s, since readers confirm by the answers to probes; and bytes written into a silent connection are not given up, since the keep-alive does not ask while bytes wait for their receipt. A third holds already and bounds what others' writes may cost.

--- a/features/forwarding/leaving_back_ends.feature
+++ b/features/forwarding/leaving_back_ends.feature
@@ -57,3 +57,15 @@
 
   Scenario: Lists have one digest exactly where they hold the same entries
     Then forwarding property: two lists have one digest where they hold the same entries, and else not
+
+  Scenario: Watches that lose their answers keep no reader from what has changed
+    An answer to a watch was lost without a word, and the connection said nothing more.  The
+    reader went on confirming by the answers to its probes beside it, for up to 25 seconds:
+      17.95 change_missed store_rev=112 known_rev=110
+      29.78 change_missed store_rev=129 known_rev=110
+    Then forwarding property: a whole fleet knows within 2.5 seconds that a back end leaves, though its watches lose their answers
+
+  Scenario: A store in which others write much is not read for each of their changes
+    Given a simulated fleet of 7 forwarding nodes
+    When others write to the store 5 times a second for 20 seconds
+    Then the forwarding fleet has called the store less than 8 times a second
--- a/features/forwarding/store_client.feature
+++ b/features/forwarding/store_client.feature
@@ -30,3 +30,10 @@
     Given a listening address that never answers
     When forwarding watches the store at that address
     Then its connection asks after 1 second of rest and is given up 1 second later
+
+  Scenario: A call written into a connection that has fallen silent is given up after two seconds
+    The system asks for a sign of life only while nothing waits for its receipt.  A watch asked for
+    on a connection that was silent already would wait for its own end, 25.7 seconds.
+    Given a listening address that never answers
+    When forwarding watches the store at that address
+    Then its connection is given up once bytes wait 2000 milliseconds for their receipt
--- a/features/steps/forwarding_client_steps.py
+++ b/features/steps/forwarding_client_steps.py
@@ -288,6 +288,7 @@
     loop.start(watch())
     loop.run()
     [context.options] = client.options
+    context.user_timeout = client.user_timeout
 
 
 @then("its connection asks after 1 second of rest and is given up 1 second later")
@@ -295,6 +296,11 @@
     assert context.options == (1, 1, 1, 1), context.options
 
 
+@then("its connection is given up once bytes wait {milliseconds:d} milliseconds for their receipt")
+def user_timeout(context, milliseconds):
+    assert context.user_timeout == milliseconds, context.user_timeout
+
+
 class RecordingClient(HttpClient):
     """A client that notes the keep-alive options of its connections."""
 
@@ -308,4 +314,5 @@
         names = (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT)
         times = tuple(stream.getsockopt(socket.IPPROTO_TCP, name) for name in names)
         self.options.append((stream.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE), *times))
+        self.user_timeout = stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
         return connection
--- a/features/steps/forwarding_fleet.py
+++ b/features/steps/forwarding_fleet.py
@@ -131,6 +131,7 @@
     :ivar loss: share of the datagrams that are lost.
     :ivar apart: pairs of groups: no datagram goes between different groups.
     :ivar storeless: addresses whose calls to the store bring nothing.
+    :ivar loses_answers: whether watches lose their answers without a word.
     :ivar refused: addresses that the store turns away.
     """
 
@@ -143,6 +144,7 @@
         self.group = {}
         self.storeless = set()
         self.refused = set()
+        self.loses_answers = False
         self.nodes = {}
         self.watches = {}
         self.datagrams = 0
@@ -253,7 +255,11 @@
             answer = self.store.changes(command)
             if answer is not None:
                 del self.watches[key]
-                self.later(ANSWER_S, key[0], node, answer)
+                if self.loses_answers:
+                    failed = self.failure(command, StoreFailure.TIMED_OUT)
+                    self.later(command.wait_s, key[0], node, failed)
+                else:
+                    self.later(ANSWER_S, key[0], node, answer)
 
     def run(self, seconds):
         """Let time pass."""
--- a/features/steps/forwarding_leaving_steps.py
+++ b/features/steps/forwarding_leaving_steps.py
@@ -32,6 +32,7 @@
 READERS = (11, 12, 13)
 """Identities of the readers that confirm."""
 LIST_PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=100)
+LOSING_PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=20)
 FLEET_PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=60)
 
 
@@ -147,3 +148,37 @@
         assert (one.list_digest == other.list_digest) >= newer
 
     check()
+
+
+@then(
+    "forwarding property: a whole fleet knows within {seconds:g} seconds that a back end leaves, "
+    "though its watches lose their answers"
+)
+def lost_answers(context, seconds):
+    @LOSING_PROPERTY
+    @for_all(st.integers(0, 9_999), st.floats(0.0, 0.9))
+    def check(seed, since_probe_s):
+        fleet = Fleet(SMALL_FLEET, seed, loss=LOSS)
+        fleet.run(SETTLED_S + since_probe_s)
+        fleet.loses_answers = True
+        fleet.store.put(LEAVING, fleet.now, BackendState.LEAVING)
+        fleet.run(seconds)
+        late = [ip for ip in fleet.ips if not knows_it_leaves(fleet, ip)]
+        assert not late, f"seed {seed}: {late}"
+
+    check()
+
+
+@when("others write to the store {rate:d} times a second for {seconds:d} seconds")
+def others_write(context, rate, seconds):
+    fleet = context.fleet
+    before = fleet.store.calls
+    for _ in range(rate * seconds):
+        fleet.store.revision += 1
+        fleet.run(1.0 / rate)
+    context.calls_per_s = (fleet.store.calls - before) / seconds
+
+
+@then("the forwarding fleet has called the store less than {rate:d} times a second")
+def called_bounded(context, rate):
+    assert context.calls_per_s < rate, context.calls_per_s
