A reader reads anew when the store has gone on without its watch telling it

Cause: a reader confirmed by its last answer to any call. A watch whose answer was lost without a word told nothing for up to 25.7 s while the probes beside it were answered; and a call written into a silent connection waited as long, since the keep-alive does not ask while bytes wait for their receipt.

Change: a reader compares the store's revision in the answers to two probes with the one known; what the first showed must be known at the second, else everything is read and nothing confirmed until then. Reads that bring nothing double the time to the next, 1 s to 60 s, since others may write what nobody follows. Connections to the store and to peers end once bytes wait 2 s for their receipt (TCP_USER_TIMEOUT).

--- a/sloepond/core/forwarding/dissemination.py
+++ b/sloepond/core/forwarding/dissemination.py
@@ -15,6 +15,7 @@
 from sloepond.core.forwarding.knowledge_age import KnowledgeAge
 from sloepond.core.forwarding.list_comparison import ListComparison
 from sloepond.core.forwarding.list_digest import NO_DIGEST
+from sloepond.core.forwarding.missed_changes import KnownState, MissedChanges
 from sloepond.core.forwarding.news import News
 from sloepond.core.forwarding.own_reads import CHANGE_LIMIT_S, OwnReads
 from sloepond.core.forwarding.peer_messages import (
@@ -76,6 +77,7 @@
         self._heard = HeardConfirmations()
         self.age = KnowledgeAge(followers)
         self._comparison = ListComparison()
+        self._missed = MissedChanges()
         self._catch_up = CatchUp(news, followers, peers, counters, random_source)
         self._changed: list[KnownBackend] = []
         self._heard_peer_at = -NEVER
@@ -166,7 +168,7 @@
         self._contact.probe_ended()
         is_own_read = self._own_reads.ended()
         if event.failure is None:
-            self._note_store_revision(event.revision)
+            self._note_store_revision(event.revision, now)
             self.store_answered(now)
             if is_own_read:
                 self._read_what_is_old(now)
@@ -274,6 +276,7 @@
 
     def _begin_reading(self, now: float) -> None:
         self._contact.begin(now)
+        self._missed.begin()
         for follower in self._followers.values():
             follower.begin_watching(now)
 
@@ -346,13 +349,22 @@
         detail = f"from={ip} rev={known} told_rev={changes.revision}"
         self._commands.append(WriteLog(LogKind.LIST_DIFFERS, "backends", detail))
 
-    def _note_store_revision(self, revision: int) -> None:
-        """See whether the store has gone on since the last probe without a watch telling it."""
-        known = max(follower.revision for follower in self._followers.values())
-        if self._contact.has_missed_change(known, revision):
-            self._counters.changes_missed += 1
-            detail = f"store_rev={revision} known_rev={known}"
-            self._commands.append(WriteLog(LogKind.CHANGE_MISSED, "store", detail))
+    def _note_store_revision(self, revision: int, now: float) -> None:
+        """Read everything if the store has gone on since the last probe and no watch has told it."""
+        if not self.election.is_reader:
+            return
+        known = KnownState(
+            max(follower.revision for follower in self._followers.values()),
+            self._news.routes_version,
+            self._news.list_digest,
+        )
+        if not self._missed.probed(revision, known, now):
+            return
+        for follower in self._followers.values():
+            follower.doubt(now)
+        self._counters.changes_missed += 1
+        detail = f"store_rev={revision} known_rev={known.revision}"
+        self._commands.append(WriteLog(LogKind.CHANGE_MISSED, "store", detail))
 
     def _log_old(self, now: float) -> None:
         self._counters.knowledge_old += 1
--- /dev/null
+++ b/sloepond/core/forwarding/missed_changes.py
@@ -0,0 +1,64 @@
+"""Finds out that a watch has missed a change: the store's revision goes on without it.
+
+An answer to a watch may be lost without a word, on a connection that says nothing more.  The
+answers to probes beside it name the store's revision.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from sloepond.core.deadlines import NEVER
+
+READ_INTERVAL_S = 1.0
+"""The least time between reads for this reason; it doubles with each that brings nothing, since
+others may write to the store what nobody here follows."""
+LONGEST_READ_INTERVAL_S = 60.0
+"""The most it grows to: as often as everything is read without a reason."""
+
+
+class KnownState(NamedTuple):
+    """What is known when a probe is answered.
+
+    :ivar revision: revision up to which a watch or a read has told all.
+    :ivar routes_version: version of the routes in force.
+    :ivar list_digest: digest of the list of back ends.
+    """
+
+    revision: int
+    routes_version: int
+    list_digest: int
+
+
+class MissedChanges:
+    """Compares the store's revision in answers to probes with the one known."""
+
+    def __init__(self) -> None:
+        self._probed_revision = 0
+        self._read_for = KnownState(0, 0, 0)
+        self._read_again_at = -NEVER
+        self._interval_s = READ_INTERVAL_S
+
+    def begin(self) -> None:
+        """Forget earlier probes: this balancer begins to watch."""
+        self._probed_revision = 0
+
+    def probed(self, revision: int, known: KnownState, now: float) -> bool:
+        """Take the answer to a probe; return whether everything is to be read.
+
+        A watch is held back for up to a second so that changes are gathered, and then answered
+        at once: what one probe shows must be known at the next.
+
+        :param revision: the store's revision in the answer.
+        """
+        has_missed = known.revision < self._probed_revision
+        self._probed_revision = revision
+        if not has_missed or now < self._read_again_at:
+            return False
+        is_useless = known[1:] == self._read_for[1:]
+        self._interval_s = (
+            min(LONGEST_READ_INTERVAL_S, 2.0 * self._interval_s) if is_useless else READ_INTERVAL_S
+        )
+        self._read_for = known
+        self._read_again_at = now + self._interval_s
+        return True
--- a/sloepond/core/forwarding/store_contact.py
+++ b/sloepond/core/forwarding/store_contact.py
@@ -39,14 +39,12 @@
         self._is_probing = False
         self._is_requested = False
         self._failures = 0
-        self._probed_revision = 0
 
     def begin(self, now: float) -> None:
         """Read, and probe from now on."""
         self._is_reader = True
         self.may_read = True
         self._failures = 0
-        self._probed_revision = 0
         self._probe_at = now + INTERVAL_S
 
     def request_probe(self, now: float) -> None:
@@ -91,19 +89,6 @@
         probe_at = now + wait_s * (0.5 + self._random.random())
         self._probe_at = max(self._probe_at, probe_at) if self.may_read else probe_at
 
-    def has_missed_change(self, known: int, probed: int) -> bool:
-        """Tell whether a watch should have told a change by now.
-
-        A watch is held back for up to a second so that changes are gathered, and then answered
-        at once: what a probe shows must be known at the next one.
-
-        :param known: revision up to which a watch or a read has told all.
-        :param probed: the store's revision in the answer to a probe.
-        """
-        has_missed = known < self._probed_revision
-        self._probed_revision = probed
-        return has_missed
-
     def probe_ended(self) -> None:
         """Note that the probe under way has ended, with an answer or without."""
         self._is_probing = False
--- a/sloepond/runtime/forwarding/streams.py
+++ b/sloepond/runtime/forwarding/streams.py
@@ -24,6 +24,10 @@
 least that the system takes: a watch that has fallen silent is noticed after 2 s, without a
 call, in place of the 25.7 s until its own end."""
 
+SILENCE_LIMIT_MS = 1000 * (KEEP_ALIVE_IDLE_S + KEEP_ALIVE_ANSWER_S)
+"""How long written bytes may wait for their receipt: the other end is not asked for a sign of life
+meanwhile, so a watch written into a silent connection would wait 25.7 s for its own end."""
+
 StreamHandler = Callable[[socket.socket], Coroutine[Wait, None, None]]
 """Serves one connection, which is closed afterwards; OSError ends it."""
 
@@ -55,6 +59,7 @@
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_ANSWER_S)
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_LIMIT_MS)
 
 
 async def send_all(stream: socket.socket, data: bytes, deadline: float) -> None:
