What peers tell is taken in a module of its own; readers heard a moment ago keep others from claiming

Dissemination keeps the roles and what is sent; change_intake takes changes, compares lists and catches up. No decision changes by the move. While nothing is fresh a reader counts for 1.2 s after it was heard, a claim for 0.7 s as before: a balancer that is behind for another reason than silence hears the readers.

--- a/sloepond/core/forwarding/dissemination.py
+++ b/sloepond/core/forwarding/dissemination.py
@@ -5,16 +5,13 @@
 import random
 
 from sloepond.core.deadlines import NEVER
-from sloepond.core.forwarding.catch_up import READ_SPREAD_S, CatchUp
-from sloepond.core.forwarding.commands import Command, FetchRoutes, LogKind, ProbeStore, SendToPeer, WriteLog
+from sloepond.core.forwarding.change_intake import ChangeIntake
+from sloepond.core.forwarding.commands import Command, LogKind, ProbeStore, SendToPeer, WriteLog
 from sloepond.core.forwarding.counters import ForwardingCounters
-from sloepond.core.forwarding.evacuated_zones import EvacuatedZones
 from sloepond.core.forwarding.events import StoreCallFailed, StoreProbed, Subject
 from sloepond.core.forwarding.follower import Follower
 from sloepond.core.forwarding.heard_confirmations import HeardConfirmations, without_changes
 from sloepond.core.forwarding.knowledge_age import KnowledgeAge
-from sloepond.core.forwarding.list_comparison import ListComparison
-from sloepond.core.forwarding.list_digest import NO_DIGEST
 from sloepond.core.forwarding.missed_changes import KnownState, MissedChanges
 from sloepond.core.forwarding.news import News
 from sloepond.core.forwarding.own_reads import CHANGE_LIMIT_S, OwnReads
@@ -24,7 +21,6 @@
     ChangesTold,
     Confirmation,
     ConfirmationsAsked,
-    KnownBackend,
     PeerMessage,
 )
 from sloepond.core.forwarding.peers import PeerTable
@@ -38,8 +34,6 @@
 """Time until it asks others."""
 NEWS_DELAY_S = 0.02
 """How long a reader gathers changes before it tells them."""
-FETCH_INTERVAL_S = 0.5
-"""How long a peer is given to tell large differences before another one is asked."""
 HEARS_PEERS_S = 2.0
 """Silence of all peers after which a balancer takes itself to be cut off."""
 
@@ -49,6 +43,8 @@
 
     :param followers: what is asked of the store itself.
     :param change_limit_s: time within which a change must be in force.
+    :ivar age: how old what is known is.
+    :ivar intake: takes changes that peers tell.
     """
 
     def __init__(
@@ -73,13 +69,10 @@
         self._number = 0
         self._confirm_at = NEVER
         self._pull_at = NEVER
-        self._fetch_again_at = -NEVER
         self._heard = HeardConfirmations()
         self.age = KnowledgeAge(followers)
-        self._comparison = ListComparison()
         self._missed = MissedChanges()
-        self._catch_up = CatchUp(news, followers, peers, counters, random_source)
-        self._changed: list[KnownBackend] = []
+        self.intake = ChangeIntake(followers, news, peers, self.age, counters, random_source)
         self._heard_peer_at = -NEVER
 
     def start(self, now: float) -> None:
@@ -89,14 +82,9 @@
 
     def take_commands(self) -> list[Command]:
         """Return what is to be done, and forget it."""
-        commands, self._commands = self._commands + self._catch_up.take_commands(), []
+        commands, self._commands = self._commands + self.intake.take_commands(), []
         return commands
 
-    def take_changed(self) -> list[KnownBackend]:
-        """Return back ends that peers have told of newly, and forget them."""
-        changed, self._changed = self._changed, []
-        return changed
-
     def next_deadline(self) -> float:
         """Return when `on_time` has something to do."""
         return min(
@@ -105,7 +93,7 @@
             self._own_read_at,
             self._confirm_at,
             self._pull_at,
-            self._catch_up.next_deadline(),
+            self.intake.next_deadline(),
         )
 
     def on_time(self, now: float) -> None:
@@ -119,7 +107,7 @@
             self._confirm(now)
         if now >= self._pull_at:
             self._pull(now)
-        self._catch_up.on_time(now)
+        self.intake.on_time(now)
 
     def news_taken(self, now: float) -> None:
         """Note that something new is known: a reader tells it soon."""
@@ -192,14 +180,14 @@
         is_new = self.election.heard(message.reader, message.rank, message.number, message.is_claim, now)
         if not is_new:
             return
-        brings_news = self._catch_up.brings_news(message.changes)
+        brings_news = self.intake.brings_news(message.changes)
         if brings_news or self.election.is_among_best(message.reader, now):
             passed_on = message if brings_news else without_changes(message)
             self._send(self._peers.choose_near(now), passed_on)
         if not message.is_claim:
             self._heard.note(message, now)
-            self._take(ip, message.changes, message.age_s, now)
-            self._compare_lists(ip, message.changes, now)
+            self._note_taken(self.intake.take(ip, message.changes, message.age_s, now), now)
+            self.intake.compare_lists(ip, message.changes, now)
 
     def confirmations_asked(self, ip: str, now: float) -> None:
         """Tell a peer the last confirmations heard, with their age; it asks for changes it lacks.
@@ -220,27 +208,21 @@
     def changes_told(self, ip: str, message: ChangesTold, now: float) -> None:
         """Take the answer of a peer."""
         self._heard_peer_at = now
-        changes = message.changes
-        self._take(ip, changes, NEVER, now)
-        if (
-            changes.route_delta is None
-            and self._catch_up.is_behind(Subject.ROUTES)
-            and now >= self._fetch_again_at
-        ):
-            self._fetch_again_at = now + FETCH_INTERVAL_S
-            self._commands.append(FetchRoutes(ip, self._catch_up.known(Subject.ROUTES)))
+        self._note_taken(self.intake.take_answer(ip, message.changes, now), now)
 
     def routes_told(self, ip: str, deltas: tuple[RouteDelta, ...], now: float) -> None:
         """Take differences of the routes that a peer was asked for."""
         self._heard_peer_at = now
-        self._fetch_again_at = now
-        for delta in deltas:
-            self._take_routes(ip, delta, now)
+        self._note_taken(self.intake.take_fetched_routes(ip, deltas, now), now)
 
     def peer_heard(self, ip: str, routes_version: int, changed_at: int, now: float) -> None:
         """Compare what a peer says it knows."""
         self._heard_peer_at = now
-        self._catch_up.compare(ip, Changes(routes_version, None, 0, changed_at, changed_at), now)
+        self.intake.peer_knows(ip, routes_version, changed_at, now)
+
+    def _note_taken(self, is_new: bool, now: float) -> None:
+        if is_new:
+            self.news_taken(now)
 
     def forget(self, now: float) -> None:
         """Forget readers that are gone."""
@@ -315,40 +297,6 @@
         identity, rank = self.election.identity, self.election.rank
         return Confirmation(identity, rank, self._number, is_claim, age_s, changes)
 
-    def _take(self, ip: str, changes: Changes, age_s: float, now: float) -> None:
-        follower = self._followers[Subject.BACKENDS]
-        self._take_routes(ip, changes.route_delta, now)
-        if self._news.take_evacuated(changes, now):
-            self._log_evacuated(ip, changes.evacuated)
-        changed = self._news.take_backends(changes, follower.known_beyond(changes.revision), now)
-        self._changed.extend(changed)
-        revision = self._news.advanced(changes, follower.revision)
-        if revision > follower.revision:
-            follower.informed(revision, now)
-        if changed:
-            self.news_taken(now)
-        self._catch_up.compare(ip, changes, now)
-        for subject in Subject:
-            if not self._catch_up.is_behind(subject):
-                self.age.confirmed(subject, now - age_s)
-
-    def _compare_lists(self, ip: str, changes: Changes, now: float) -> None:
-        """Read the list anew if readers that know as much hold another one.
-
-        Whoever knows less asks for what it lacks; of two that take their lists for complete up to
-        one revision, only the store can tell which one is wrong.
-        """
-        known = self._followers[Subject.BACKENDS].revision
-        if changes.list_digest == NO_DIGEST or known != changes.revision:
-            return
-        is_alike = changes.list_digest == self._news.list_digest
-        if not self._comparison.compare(is_alike, now):
-            return
-        self._followers[Subject.BACKENDS].doubt(now + READ_SPREAD_S * self._random.random())
-        self._counters.lists_differing += 1
-        detail = f"from={ip} rev={known} told_rev={changes.revision}"
-        self._commands.append(WriteLog(LogKind.LIST_DIFFERS, "backends", detail))
-
     def _note_store_revision(self, revision: int, now: float) -> None:
         """Read everything if the store has gone on since the last probe and no watch has told it."""
         if not self.election.is_reader:
@@ -373,19 +321,6 @@
         )
         self._commands.append(WriteLog(LogKind.KNOWLEDGE_OLD, self.election.role.value, detail))
 
-    def _log_evacuated(self, ip: str, evacuated: EvacuatedZones) -> None:
-        detail = f"from={ip} rev={evacuated.revision}"
-        self._commands.append(WriteLog(LogKind.ZONES_EVACUATED, ",".join(evacuated.zones) or "none", detail))
-
-    def _take_routes(self, ip: str, delta: RouteDelta | None, now: float) -> None:
-        if delta is None or not self._news.take_routes(delta, now):
-            return
-        self._followers[Subject.ROUTES].informed(0, now)
-        self._counters.configurations_taken += 1
-        detail = f"from={ip} changed={len(delta.changed)} removed={len(delta.removed)}"
-        self._commands.append(WriteLog(LogKind.ROUTES_IN_FORCE, str(delta.version), detail))
-        self.news_taken(now)
-
     def _send(self, ips: list[str], message: PeerMessage) -> None:
         self._counters.peer_messages_sent += len(ips)
         self._commands.extend(SendToPeer(ip, message) for ip in ips)
--- a/sloepond/core/forwarding/node.py
+++ b/sloepond/core/forwarding/node.py
@@ -360,7 +360,7 @@
 
     def _log_told(self) -> None:
         """Write a line for each back end that peers have told of newly."""
-        for known in self._dissemination.take_changed():
+        for known in self._dissemination.intake.take_changed():
             self.counters.backend_changes += 1
             record = known.record
             detail = f"state={record.state.name.lower()} rev={record.revision} told=peer"
--- a/sloepond/core/forwarding/readers.py
+++ b/sloepond/core/forwarding/readers.py
@@ -20,6 +20,9 @@
 """Readers a fleet has."""
 READER_SILENT_S = 2.0
 """Silence after which a reader is taken to be gone."""
+HEARD_LATELY_S = 1.2
+"""Silence after which a reader keeps nobody from claiming whose knowledge is old: readers confirm
+each 0.9 s, and all must have been silent for `FRESH_S` where none of them is the cause."""
 CLAIM_LASTS_S = 0.7
 """How long a claim counts that no confirmation follows."""
 CLAIM_WAIT_S = 0.08
@@ -128,8 +131,11 @@
         return sum(reader.counts_until > now for reader in self._readers.values())
 
     def heard_lately(self, now: float) -> int:
-        """Return how many others have claimed or confirmed within the time that a claim lasts."""
-        return sum(now - reader.heard_at < CLAIM_LASTS_S for reader in self._readers.values())
+        """Return how many other readers and claimants were heard a moment ago."""
+        return sum(
+            reader.counts_until > now and now - reader.heard_at < HEARD_LATELY_S
+            for reader in self._readers.values()
+        )
 
     def store_failed(self, now: float) -> None:
         """Note that a call to the store has failed."""
