--- a/features/steps/forwarding_evacuation_steps.py
+++ b/features/steps/forwarding_evacuation_steps.py
@@ -8,8 +8,8 @@
 from behave import given, then, when
 from forwarding_fleet import Fleet, route
 from forwarding_model import ROUTES, STREAM, Harness, fresh_node, record, segment
+from hypothesis import Phase, settings
 from hypothesis import given as for_all
-from hypothesis import settings
 from hypothesis import strategies as st
 
 from sloepond.core.forwarding.backends import BackendDirectory
@@ -32,7 +32,11 @@
 from sloepond.core.forwarding.routes import ColdStart, Route, RouteConfiguration, Share
 
 PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=60)
-FLEET_PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=6)
+WITHOUT_SHRINKING = (Phase.explicit, Phase.generate)
+"""A smaller seed of a fleet is no simpler case; looking for one takes minutes."""
+FLEET_PROPERTY = settings(
+    derandomize=True, deadline=None, database=None, max_examples=6, phases=WITHOUT_SHRINKING
+)
 ZONES = ("north", "south", "west")
 LIMIT = ColdLimit(factor=1.5, slack_per_s=5.0)
 COLD_S = 2.0
--- a/features/steps/forwarding_leaving_steps.py
+++ b/features/steps/forwarding_leaving_steps.py
@@ -5,8 +5,8 @@
 from behave import given, then, when
 from forwarding_fleet import Fleet
 from forwarding_model import Harness, hear_readers, record
+from hypothesis import Phase, settings
 from hypothesis import given as for_all
-from hypothesis import settings
 from hypothesis import strategies as st
 
 from sloepond.core.forwarding.backend_records import BackendState
@@ -32,8 +32,12 @@
 READERS = (11, 12, 13)
 """Identities of the readers that confirm."""
 LIST_PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=100)
-LOSING_PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=20)
-FLEET_PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=60)
+WITHOUT_SHRINKING = (Phase.explicit, Phase.generate)
+"""A smaller seed of a fleet is no simpler case; looking for one takes minutes."""
+FLEET_PROPERTY = settings(
+    derandomize=True, deadline=None, database=None, max_examples=60, phases=WITHOUT_SHRINKING
+)
+LOSING_PROPERTY = settings(FLEET_PROPERTY, max_examples=20)
 
 
 def knows_it_leaves(fleet, ip):
