--- a/features/forwarding/planned_stop.feature
+++ b/features/forwarding/planned_stop.feature
@@ -34,6 +34,26 @@
     When 5 balancers of a zone are taken away, two each second
     Then at most half as many packets are lost as where each forwards on for 1.8 seconds only
 
+  Scenario: Most of a zone is taken away, whatever its balancers have heard of each other
+    The scenario above held for its seed, and for 21 of the first 40.  A heartbeat goes to a random
+    few, and only it names its sender's hall: 6 s after its start a balancer had not heard of some
+    of its hall, counted too many or too few of them as ready, and ended while routers used all:
+      0.0 10.1.0.12 stopping zone_ready=2 zone_others=3 (six in the hall)
+      1.8 10.1.0.6 stop_completed reason=no_packets zone_ready=3 zone_others=3 (two were ready)
+    Then for each of 8 seeds at most half as many packets are lost as with ends after 1.8 seconds
+
+  Scenario: A balancer that stops asks its hall, and the hall answers
+    Given a forwarding node that has heard of one peer in its hall, of one elsewhere, and of one by name only
+    When forwarding is asked to stop among its peers
+    Then forwarding tells the peer in its hall and the one known by name only
+
+  Scenario: A peer of the hall that stops is answered once
+    Given a forwarding node that has heard of one peer in its hall, of one elsewhere, and of one by name only
+    When the peer in its hall says twice that it stops
+    Then forwarding sends it one heartbeat that names its own hall
+    When the peer elsewhere says that it stops
+    Then forwarding sends the peer elsewhere no heartbeat
+
   Scenario: A stop during a start
     Given a fresh forwarding node whose store is silent
     When forwarding is asked to stop with 6 seconds of grace
--- a/features/forwarding/readers.feature
+++ b/features/forwarding/readers.feature
@@ -65,6 +65,18 @@
     When most entries lapse, the whole forwarding fleet is killed, and the entries come back within 0.3 seconds
     Then the forwarding fleet knows all within 0.5 seconds
 
+  Scenario: A new reader confirms what its first read has brought
+    After a loss of all processes entries came back before there were readers.  Each new reader
+    confirmed first at the revision of its read, with no changes in it; the others knew all up to an
+    older one and requested what they lacked, some of peers that lacked it too, for 0.5 s and more:
+      -0.03 role_changed reader
+      0.01  confirmation base=118 revision=118, no changes (all others know up to 113)
+      0.11  request of changes since 113, and again at 0.31 and 0.51
+      0.518 backend_changed i-00000002 state=ready rev=114 told=peer
+    Given a forwarding node that knows all up to revision 113
+    When forwarding becomes a reader and reads at revision 118 that a back end leaves
+    Then its first confirmation holds all changes from revision 113 to 118
+
   Scenario: A fleet that was killed whole asks the store at a bounded rate
     Given a simulated fleet of 40 forwarding nodes
     When the whole forwarding fleet is killed and started anew
--- a/features/steps/forwarding_stop_steps.py
+++ b/features/steps/forwarding_stop_steps.py
@@ -37,15 +37,18 @@
 
     :ivar ended: when each balancer ended.
     :ivar lost: packets that routers have sent to balancers that had ended.
+    :cvar seed: of the fleets made from now on.
     """
 
+    seed = 1
+
     def __init__(self, count, kill_after_s=GRACE_S):
         self.ended = {}
         self.sent_at = {}
         self.misses = {}
         self.lost = 0
         self.sent = 0
-        super().__init__(count, kill_after_s=kill_after_s)
+        super().__init__(count, self.seed, kill_after_s=kill_after_s)
         self.run(SETTLED_S)
         assert not self.behind()
         self.hall = [ip for ip, node in self.nodes.items() if node.is_ready and self.zone_of(ip) == 0]
--- /dev/null
+++ b/features/steps/forwarding_unconfirmed_steps.py
@@ -0,0 +1,128 @@
+"""Steps on a fresh balancer whose first list of back ends may be old."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from forwarding_model import STREAM, Harness, fresh_node, record, segment
+
+from sloepond.core.forwarding.commands import ForwardHeld
+from sloepond.core.forwarding.events import (
+    BackendsRead,
+    OpeningHeld,
+    PeerMessageReceived,
+    RoutesRead,
+    StoreCallFailed,
+    StoreFailure,
+    Subject,
+    TimerFired,
+)
+from sloepond.core.forwarding.peers.messages import Changes, Confirmation
+from sloepond.core.forwarding.placement.slow_start import SlowStartLimit
+from sloepond.core.forwarding.state.routes import ColdStart, Route, RouteConfiguration, Share
+
+OLD_REVISION = 120
+NEW_REVISION = 132
+COUNT = 12
+"""Back ends, each changed once between the two revisions."""
+LIMIT = SlowStartLimit(factor=1.5, slack_per_s=5.0)
+ROUTES = RouteConfiguration(
+    7, (Route("stream", STREAM, (Share("booking", 1),)),), cold_starts=(ColdStart("booking", 60.0, 0.0),)
+)
+READER = 11
+"""Identity of the reader that confirms."""
+PEER = "10.1.0.3"
+
+
+def old_records():
+    """Return the list as it was some seconds ago: all back ends are fast."""
+    return tuple(record(n, revision=OLD_REVISION - COUNT + n) for n in range(1, COUNT + 1))
+
+
+def new_records():
+    """Return the list as it is: all have just become slow."""
+    return tuple(record(n, revision=NEW_REVISION - COUNT + n, cold_s=60.0) for n in range(1, COUNT + 1))
+
+
+def open_flow(harness, port):
+    """Open a flow as a caller would; return what becomes of it."""
+    opening = segment(STREAM, port, opening=True)
+    decision = harness.node.decide(opening, harness.now)
+    if decision.hold:
+        harness.handle(OpeningHeld(opening, b"opening"))
+    return decision
+
+
+@given("a forwarding node that spares slow back ends and has just read a list that may be old")
+def fresh_with_old_list(context):
+    context.harness = harness = Harness(fresh_node(slow_start_limit=LIMIT))
+    harness.run_to(harness.now + 0.06, TimerFired())
+    assert [read.may_be_stale for read in harness.reads(Subject.BACKENDS)] == [True]
+    harness.handle(RoutesRead(NEW_REVISION, ROUTES))
+    harness.handle(BackendsRead(NEW_REVISION, old_records()))
+
+
+@then("forwarding lets a new flow wait and reads the list again within {seconds:g} seconds")
+def waits_and_reads(context, seconds):
+    harness = context.harness
+    assert open_flow(harness, 1).hold
+    harness.run_to(harness.now + seconds, TimerFired())
+    assert [read.may_be_stale for read in harness.reads(Subject.BACKENDS)] == [False]
+    assert harness.all(ForwardHeld) == []
+
+
+@when("forwarding reads that all back ends have become slow")
+def reads_slow(context):
+    context.harness.handle(BackendsRead(NEW_REVISION, new_records()))
+
+
+@when("a reader confirms the list that forwarding has read")
+def reader_confirms(context):
+    node = context.harness.node
+    changes = Changes(7, None, OLD_REVISION, NEW_REVISION, OLD_REVISION, (), list_checksum=checksum(node))
+    context.harness.handle(PeerMessageReceived(PEER, Confirmation(READER, 1.0, 1, False, 0.0, changes)))
+
+
+@when("a reader confirms another list than forwarding has read")
+def reader_confirms_other(context):
+    node = context.harness.node
+    other = checksum(node) ^ 1
+    changes = Changes(7, None, OLD_REVISION, NEW_REVISION, NEW_REVISION, (), list_checksum=other)
+    context.harness.handle(PeerMessageReceived(PEER, Confirmation(READER, 1.0, 1, False, 0.0, changes)))
+
+
+def checksum(node):
+    """Return the anti-entropy checksum of a node's list."""
+    return node.backends.list_checksum
+
+
+@when("every call to the store fails for {seconds:g} seconds")
+def store_fails(context, seconds):
+    harness = context.harness
+    end = harness.now + seconds
+    while harness.now < end:
+        harness.run_to(harness.now + 0.05, TimerFired())
+        if harness.reads(Subject.BACKENDS):
+            harness.handle(StoreCallFailed(Subject.BACKENDS, StoreFailure.UNREACHABLE, False))
+
+
+@then("forwarding decides on the flow that waited, and no back end is given one")
+def decided_none_given(context):
+    assert [command.datagrams for command in context.harness.all(ForwardHeld)] == [(b"opening",)]
+    decisions = [open_flow(context.harness, port) for port in range(2, 40)]
+    assert all(decision.backend is None and not decision.hold for decision in decisions)
+
+
+@then("forwarding decides on the flow that waited, and back ends are given new ones")
+def decided_and_given(context):
+    assert [command.datagrams for command in context.harness.all(ForwardHeld)] == [(b"opening",)]
+    assert open_flow(context.harness, 2).backend is not None
+
+
+@then("forwarding gives back ends new flows")
+def new_flows(context):
+    assert open_flow(context.harness, 3).backend is not None
+
+
+@then("forwarding lets a new flow wait")
+def still_waits(context):
+    assert open_flow(context.harness, 4).hold
