A stopping balancer knows its hall; a new reader confirms what its first read brought

Planned stop. Cause: only a heartbeat names its sender's hall, and it goes to a random few, so a balancer that stops counted some of its hall only, and ended while routers used all (zone_ready=3 zone_others=3 where two were ready). Change: the word that it stops goes also to peers whose hall is unknown, and those of its hall answer it with a heartbeat. Measured: 39 of 40 after 6 s.

First confirmation. Cause: a new reader's first confirmation begins at the revision of its own read; peers request the difference after 0.1 s, in part of peers that lack it too. Change: it begins at the revision known before that read, with eight messages at most.

--- a/sloepond/core/forwarding/peers/change_gossip.py
+++ b/sloepond/core/forwarding/peers/change_gossip.py
@@ -26,8 +26,8 @@
 MAXIMUM_BACKENDS = 12
 """Back ends in one message.  Encoded, 12 take 1,268 bytes, so the message stays below 1,500."""
 MAXIMUM_MESSAGES = 8
-"""Messages that answer one request; a peer that lacks more reads the list from the store.  Not measured: 96
-back ends, 10 kB."""
+"""Messages that answer one request, or hold what a new reader's first read has brought; a peer that lacks
+more reads the list from the store.  Not measured: 96 back ends, 10 kB."""
 REPEATS = 2
 """Confirmations of one reader that carry a change of back ends, against lost datagrams.  Measured between
 195 balancers over one day: 66 MB with two, 71 MB where changes were repeated for 2.2 s."""
@@ -44,22 +44,41 @@
         self._backends = backends
         self._evacuations = evacuations
         self._confirmed: collections.deque[int] = collections.deque(maxlen=REPEATS)
+        self._is_first = False
         self._routes_taken_at = 0.0
 
     def routes_taken(self, now: float) -> None:
         """Note that a version of the routes has come into force."""
         self._routes_taken_at = now
 
+    def begin_confirming(self, revision: int) -> None:
+        """Begin as a reader.
+
+        The first confirmation carries what has changed since, so that peers that know as much as this
+        balancer did need not request what its first read has brought.  Measured on a model of 20 balancers
+        that are killed whole while entries lapse, 30 seeded runs: all know within 0.5 s of the entries'
+        return in 29, in 25 without this.
+
+        :param revision: the store's revision up to which this balancer knows all before its first read.
+        """
+        self._confirmed.clear()
+        self._confirmed.append(revision)
+        self._is_first = True
+
     def confirmed_changes(self, revision: int, now: float) -> tuple[Changes, ...]:
         """Return what a reader confirms now: the changes since its last confirmations, in parts.
 
         :param revision: the store's revision up to which the reader knows all.
         """
         base = self._repeated_from(revision)
+        parts = list(self._parts(base, revision, now))
+        if self._is_first and len(parts) > MAXIMUM_MESSAGES:
+            parts = list(self._parts(revision, revision, now))
+        self._is_first = False
         delta = None
         if now - self._routes_taken_at < REPEAT_ROUTES_S:
             delta = self._routes.history.latest_to(self._routes.version)
-        first, *others = self._parts(base, revision, now)
+        first, *others = parts
         return (msgspec.structs.replace(first, route_delta=delta), *others)
 
     def answer(self, routes_version: int, revision: int, own_revision: int, now: float) -> list[Changes]:
--- a/sloepond/core/forwarding/peers/confirmations.py
+++ b/sloepond/core/forwarding/peers/confirmations.py
@@ -76,6 +76,10 @@
         if self._election.is_reader:
             self._confirm_at = min(self._confirm_at, now + GATHER_S)
 
+    def begin(self) -> None:
+        """Confirm from now on: this balancer becomes a reader."""
+        self._gossip.begin_confirming(self._watchers[Subject.BACKENDS].revision)
+
     def cancel(self) -> None:
         """Confirm nothing more: this balancer is no longer a reader."""
         self._confirm_at = NEVER
--- a/sloepond/core/forwarding/peers/heartbeats.py
+++ b/sloepond/core/forwarding/peers/heartbeats.py
@@ -53,11 +53,18 @@
         self._due_at = min(self._due_at, now + LEAVE_REPEAT_S)
 
     def received(self, ip: str, message: Heartbeat, now: float) -> None:
-        """Take a peer's heartbeat; one that knows few peers, or no routes, is sent one in return."""
+        """Take a peer's heartbeat; one that knows few peers, or no routes, is sent one in return.
+
+        So is a peer of the hall that begins to stop: when it may end depends on how many of its hall stay
+        ready, which it else knows of those only whose heartbeats happened to come.  Measured on a model of
+        18 balancers of which five of the six in a hall are taken away, 40 seeded runs, 6 s after their start:
+        at most half as many packets are lost as with ends after a fixed time in 39 runs, in 16 without this.
+        """
         peers = self._local.peers
         knows_few_peers = len(message.known_peers) < SHARED_PEERS and peers.is_new(ip, now)
         knows_nothing = not message.routes_version and self._local.routes.version > 0
-        if knows_few_peers or knows_nothing:
+        counts_hall = peers.is_news_of_leaving(ip, message)
+        if knows_few_peers or knows_nothing or counts_hall:
             self._outbox.send([ip], self._heartbeat(now, message.hall))
         peers.heartbeat_received(ip, message, now)
 
--- a/sloepond/core/forwarding/peers/peer_table.py
+++ b/sloepond/core/forwarding/peers/peer_table.py
@@ -165,9 +165,21 @@
         return chosen + others[: FANOUT - len(chosen)]
 
     def choose_in_hall(self, now: float) -> list[str]:
-        """Return addresses of the living peers of the hall, of many a random part."""
+        """Return addresses of the living peers that stand or may stand in the hall, of many a random part.
+
+        The hall of a peer is unknown until its first heartbeat, which is sent to a random few.
+        """
         near = self._alive_in_hall(now)
-        return self._random.sample(near, min(HALL_FANOUT, len(near)))
+        chosen = self._random.sample(near, min(HALL_FANOUT, len(near)))
+        unknown = [peer.ip for peer in self._peers.values() if not peer.hall and self._is_alive(peer, now)]
+        others = self._random.sample(unknown, min(HALL_FANOUT - len(chosen), len(unknown)))
+        return chosen + others
+
+    def is_news_of_leaving(self, ip: str, heartbeat: Heartbeat) -> bool:
+        """Tell whether a peer of the hall says that it stops, and was not known to."""
+        peer = self._peers.get(ip)
+        was_leaving = peer is not None and peer.is_leaving
+        return heartbeat.is_leaving and heartbeat.hall == self._hall and not was_leaving
 
     def _alive_in_hall(self, now: float) -> list[str]:
         peers = self._peers.values()
--- a/sloepond/core/forwarding/peers/reader_role.py
+++ b/sloepond/core/forwarding/peers/reader_role.py
@@ -57,6 +57,7 @@
 
     def _begin_reading(self, now: float) -> None:
         self._probing.begin(now)
+        self._confirmations.begin()
         for watcher in self._local.watchers.values():
             watcher.begin_watching(now)
 
