Feature: an answer that waited while the process slept confirms nothing

Failing at this commit: the first answers taken after a sleep of three seconds, to reads issued before it, end the wait for a confirmation; a new flow is placed by them (refusal=None), and nothing is read again.

--- a/features/forwarding/lifecycle.feature
+++ b/features/forwarding/lifecycle.feature
@@ -40,3 +40,13 @@
     When forwarding has read the list of back ends only
     And forwarding lets 3 new flows wait for more than a second
     Then forwarding places none of them once the routes are read
+
+  Scenario: An answer that was on its way while the process slept confirms nothing
+    A read had been answered just before a balancer slept; the answer lay in its socket and was the
+    first thing it took as it woke.  It counted as confirmed at that moment, the read that follows a
+    sleep was dropped for it, and new flows were placed by a list as old as the sleep:
+      10.00 a read of the list is issued, and answered by the store
+      13.00 stalled late_s=3.00; the answer is taken, new flows are placed, nothing is read again
+    Given a forwarding node with routes and back ends
+    When forwarding sleeps for three seconds while its reads are answered
+    Then forwarding still places no flow, reads everything again, and places once that is answered
--- a/features/steps/forwarding_lifecycle_steps.py
+++ b/features/steps/forwarding_lifecycle_steps.py
@@ -23,6 +23,8 @@
     OpeningHeld,
     RoutesRead,
     StopRequested,
+    StoreFailure,
+    StoreProbed,
     TimerFired,
 )
 from sloepond.core.forwarding.lifecycle.planned_stop import LEAST_FORWARD_S
@@ -162,3 +164,31 @@
 def places_none(context):
     context.harness.handle(RoutesRead(9, ROUTES))
     assert context.harness.all(ForwardHeld) == []
+
+
+@when("forwarding sleeps for three seconds while its reads are answered")
+def slept_on_answers(context):
+    harness = context.harness
+    harness.become_reader()
+    harness.handle(StoreProbed(StoreFailure.TIMED_OUT))
+    harness.handle(StoreProbed(None, 20))
+    harness.run_to(harness.now + 0.1, TimerFired())
+    assert all(len(harness.reads(subject)) == 1 for subject in SUBJECTS)
+    harness.now += 3.0
+    harness.handle(TimerFired())
+    harness.now += 0.001
+    harness.handle(RoutesRead(20, version(9)))
+    harness.handle(BackendsRead(20, records()))
+
+
+@then("forwarding still places no flow, reads everything again, and places once that is answered")
+def places_after_second_reads(context):
+    harness = context.harness
+    opening = segment(STREAM, opening=True)
+    assert harness.node.counters.stalls_detected == 1
+    assert harness.node.decide(opening, harness.now).refusal is Refusal.STALE_KNOWLEDGE
+    harness.run_to(harness.now + 0.01, TimerFired())
+    assert all(len(harness.reads(subject)) == 1 for subject in SUBJECTS)
+    harness.handle(RoutesRead(21, version(9)))
+    harness.handle(BackendsRead(21, records()))
+    assert harness.node.decide(opening, harness.now).backend is not None
