A read that was issued before a sleep confirms nothing after it

Cause: a read counted as confirmed at the time its answer was taken, whenever it was issued; taking it also dropped the read that a sleep asks for.

Change: what a read confirms is as old as its call; an answer to a call from before a sleep is read again.

--- a/sloepond/core/forwarding/lifecycle/stall_guard.py
+++ b/sloepond/core/forwarding/lifecycle/stall_guard.py
@@ -45,7 +45,7 @@
         self._stalled_at = now
         self._resume_at = now + STALL_TRUST_S
         for watcher in self._watchers:
-            watcher.invalidate(now)
+            watcher.slept(now)
 
     def on_time(self, now: float) -> None:
         """Place flows again where reading everything takes too long."""
@@ -53,8 +53,8 @@
             self._resume()
 
     def store_answered(self) -> None:
-        """Place flows again once everything was read after the stall."""
-        if all(watcher.confirmed_at > self._stalled_at for watcher in self._watchers):
+        """Place flows again once everything was read by calls issued after the stall."""
+        if all(watcher.confirmed_at >= self._stalled_at for watcher in self._watchers):
             self._resume()
 
     def _resume(self) -> None:
--- a/sloepond/core/forwarding/store/watcher.py
+++ b/sloepond/core/forwarding/store/watcher.py
@@ -58,7 +58,8 @@
     :param spread_source: differs between balancers, which read at the same moment; None for the shared one.
 
     :ivar is_watcher: whether changes are watched for and reads repeated.
-    :ivar confirmed_at: when the last read of everything was answered, `-NEVER` for never.
+    :ivar confirmed_at: when the last answered read of everything was issued, `-NEVER` for never; its answer
+        may have waited in the socket of a process that slept.
     :ivar unconfirmed_since: when the first answer came, if it may be stale and nothing has confirmed it
         yet; else `NEVER`.
     """
@@ -78,6 +79,8 @@
         self._is_watching = False
         self._next_call_at = 0.0
         self._read_at = -NEVER
+        self._read_issued_at = -NEVER
+        self._woke_at = -NEVER
         self._was_broken = False
         self._is_read_required = False
         self._is_informed = False
@@ -179,6 +182,7 @@
             return calls
         if not self._is_reading and now >= self._read_at:
             self._is_reading = True
+            self._read_issued_at = now
             self._is_reading_stale = self._may_begin_stale
             calls.append(ReadSubject(self._subject, self._is_reading_stale))
         if self._may_watch:
@@ -192,10 +196,14 @@
 
         :param items: how many items the answer holds.
         """
+        issued_at = self._read_issued_at if self._is_reading else now
         self._is_reading = False
         self._may_begin_stale = False
         self._answered(revision)
         self._next_call_at = now
+        if issued_at < self._woke_at:
+            self._read_at = now
+            return
         if self._is_reading_stale:
             self._stale_read(items, now)
             return
@@ -204,7 +212,7 @@
         self._was_broken = False
         self._was_confirmed = True
         self.unconfirmed_since = NEVER
-        self.confirmed_at = now
+        self.confirmed_at = issued_at
         self._is_read_required = False
 
     def _stale_read(self, items: int, now: float) -> None:
@@ -276,6 +284,11 @@
         if self.is_watcher:
             self._is_valid = False
 
+    def slept(self, now: float) -> None:
+        """Read everything as soon as possible after a sleep; an answer to an earlier read confirms nothing."""
+        self._woke_at = now
+        self.invalidate(now)
+
     def require_read(self, now: float) -> None:
         """Read everything as soon as possible, whatever peers send meanwhile: something is wrong."""
         self._is_read_required = True
