--- a/features/forwarding/errors.feature
+++ b/features/forwarding/errors.feature
@@ -33,11 +33,20 @@
       | reads   | answers with JSON that breaks off   | malformed   | Input data was truncated |
       | watches | answers with JSON that breaks off   | malformed   | Input data was truncated |
       | probes  | answers with JSON that breaks off   | malformed   | Input data was truncated |
-      | reads   | answers with an entry that is none  | malformed   | invalid literal for int  |
       | reads   | does not speak HTTP                 | malformed   | first line               |
       | probes  | refuses connections                 | unreachable | Connection refused       |
       | watches | says nothing                        | timed_out   | TimeoutError             |
 
+  Scenario Outline: An entry that names no back end fails no call, and says why
+    When forwarding <calls> a store that answers with an entry that is none
+    Then forwarding has taken that entry as one that cannot be read, for the reason "missing required field"
+    And forwarding has logged 0 lines "store_call_failed"
+
+    Examples:
+      | calls   |
+      | reads   |
+      | watches |
+
   Scenario: A setting whose value cannot be used is logged
     Given platform stand-ins of a store and of two targets
     And the settings file of the next platform balancer says "limits.cpu_share=half"
--- a/features/steps/forwarding_errors_steps.py
+++ b/features/steps/forwarding_errors_steps.py
@@ -15,7 +15,7 @@
 
 from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
 from sloepond.core.forwarding.counters import ForwardingCounters
-from sloepond.core.forwarding.events import Subject
+from sloepond.core.forwarding.events import BackendsRead, Subject, UnreadableBackend
 from sloepond.core.forwarding.state.backend_records import Endpoint
 from sloepond.platform.packet_codec import PlatformPacketCodec
 from sloepond.platform.store import PlatformStoreCodec
@@ -150,9 +150,10 @@
 
 
 def entry_without_port():
-    """Return a list with a back end whose address has no port."""
+    """Return a list, and the answer to a watch, with a back end whose address has no port."""
     value = base64.b64encode(b'{"service":"a","addr":"10.0.0.1"}').decode()
-    return json.dumps({"items": [{"key": "servers/i-1", "rev": 1, "value": value}], "more": False, "at": 1})
+    items = [{"key": "servers/i-1", "rev": 1, "value": value}]
+    return json.dumps({"items": items, "events": items, "more": False, "at": 1})
 
 
 STORES = {
@@ -179,7 +180,16 @@
         "watches": lambda: store.watch(WatchSubject(Subject.BACKENDS, 1, 1.0)),
         "probes": store.probe,
     }[calls]
-    loop.run_to_end(call())
+
+    context.event = loop.run_to_end(call())
+
+
+@then('forwarding has taken that entry as one that cannot be read, for the reason "{reason}"')
+def taken_as_unreadable(context, reason):
+    event = context.event
+    entries = event.unreadable if isinstance(event, BackendsRead) else event.changes
+    assert [type(entry) for entry in entries] == [UnreadableBackend], event
+    assert entries[0].name == "i-1" and reason in entries[0].reason, entries
 
 
 @then('forwarding has logged one line "{kind}" about "{subject}" with the reason "{reason}"')
