An entry that cannot be read names no back end; a name names one start of a back end

Symptom: with one entry of another program in the list a balancer reads nothing at all (store_call_failed malformed), and a back end that starts again under its id is sent packets at its former address or given no new flow for good.

Cause: a page was decoded whole or not at all, with defaults for missing fields; an id stood for one process in all that is kept of a back end.

Change: entries are decoded one by one, strictly; those that cannot be read are counted (backends_unreadable) and logged at a bounded rate with key and reason, and a back end whose entry turns so gets no new flow. No form of a message changes.

--- a/sloepond/core/forwarding/commands.py
+++ b/sloepond/core/forwarding/commands.py
@@ -111,6 +111,7 @@
     ROUTES_IN_FORCE = "routes_in_force"
     HALLS_EVACUATED = "zones_evacuated"
     BACKEND_CHANGED = "backend_changed"
+    BACKEND_UNREADABLE = "backend_unreadable"
     BACKEND_PASSED_OVER = "backend_passed_over"
     BACKEND_CHECKED = "backend_checked"
     FLOW_PLACED = "flow_placed"
--- a/sloepond/core/forwarding/counters.py
+++ b/sloepond/core/forwarding/counters.py
@@ -56,6 +56,7 @@
     :ivar own_reads: reads by a follower that no reader confirmed anything to.
     :ivar configurations_taken: versions of the routes that came into force.
     :ivar backend_changes: changes of back ends taken, from the store or a peer.
+    :ivar backends_unreadable: entries of the list, as they are taken, that name no back end to use.
     :ivar knowledge_taken: snapshots taken from a peer.
     :ivar knowledge_old: times that routes or back ends became stale (`FRESH_S`).
     :ivar behind_peers: reads of the store because no peer sent what another one knows.
@@ -114,6 +115,7 @@
     tokens_looked_up: int = 0
     tokens_found_by_peers: int = 0
     held_packets_dropped: int = 0
+    backends_unreadable: int = 0
     knowledge_taken: int = 0
     behind_peers: int = 0
     knowledge_old: int = 0
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterable
 
 import msgspec
 
@@ -55,14 +56,41 @@
     evacuated: tuple[str, ...] = ()
 
 
+class UnreadableBackend(msgspec.Struct, frozen=True):
+    """An entry of the list that names no back end to use; other programs may write there too.
+
+    :ivar name: what the entry would be called, shortened if it is very long.
+    :ivar revision: at which it was written.
+    :ivar reason: why it cannot be used, for a log line.
+    """
+
+    name: str
+    revision: int
+    reason: str
+
+
 class BackendsRead(msgspec.Struct, frozen=True):
     """The whole list of back ends was read.
 
     :ivar revision: the store's revision at the read.
+    :ivar unreadable: entries that name no back end to use.
     """
 
     revision: int
     records: tuple[BackendRecord, ...]
+    unreadable: tuple[UnreadableBackend, ...] = ()
+
+
+def backends_read(revision: int, entries: Iterable[BackendRecord | UnreadableBackend]) -> BackendsRead:
+    """Return the event of a list that holds these entries."""
+    records: list[BackendRecord] = []
+    unreadable: list[UnreadableBackend] = []
+    for entry in entries:
+        if isinstance(entry, BackendRecord):
+            records.append(entry)
+        else:
+            unreadable.append(entry)
+    return BackendsRead(revision, tuple(records), tuple(unreadable))
 
 
 class RoutesChanged(msgspec.Struct, frozen=True):
@@ -93,7 +121,7 @@
     """
 
     revision: int
-    changes: tuple[BackendRecord | DepartedBackend, ...]
+    changes: tuple[BackendRecord | DepartedBackend | UnreadableBackend, ...]
 
 
 class StoreCallFailed(msgspec.Struct, frozen=True):
--- a/sloepond/core/forwarding/state/backend_records.py
+++ b/sloepond/core/forwarding/state/backend_records.py
@@ -27,10 +27,32 @@
     """No longer listed; its flows are still forwarded to it."""
 
 
+START_MARK = "#"
+"""Between the id of a back end and its start, in the names of those that are started again under their id."""
+
+
+def start_name(identity: str, born_ms: int) -> str:
+    """Return the name of one start of a back end.
+
+    All that is counted, measured or told of a back end goes by this name, so nothing of a former start
+    counts for the one that follows under the same id.
+
+    :param identity: its id.
+    :param born_ms: Unix time of its start in milliseconds, 0 where it is not known.
+    """
+    return f"{identity}{START_MARK}{born_ms}" if born_ms else identity
+
+
+def identity_of(name: str) -> str:
+    """Return the id of the back end of which a name names one start."""
+    return name.partition(START_MARK)[0]
+
+
 class BackendRecord(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One back end as it is listed and as peers pass it on.
 
-    :ivar number: identity of this start of it, never used again (64 bits).
+    :ivar name: of this start of it, see `start_name`.
+    :ivar number: its identity in packets, the same for all starts under one id (64 bits).
     :ivar slots: requests that it works on at once.
     :ivar cold_s: seconds until it is as fast as the others after its start.
     :ivar revision: revision of the list at which this was written.
--- a/sloepond/core/forwarding/state/backends.py
+++ b/sloepond/core/forwarding/state/backends.py
@@ -14,7 +14,7 @@
 from sloepond.core.forwarding.peers.messages import KnownBackend
 from sloepond.core.forwarding.placement.places import ANYWHERE, PlaceRules
 from sloepond.core.forwarding.state.backend import ForwardingBackend
-from sloepond.core.forwarding.state.backend_records import BackendRecord, BackendState
+from sloepond.core.forwarding.state.backend_records import BackendRecord, BackendState, identity_of
 from sloepond.core.forwarding.state.change_index import ChangeIndex
 from sloepond.core.forwarding.state.holders import EndpointHolders, TokenHolders
 from sloepond.core.forwarding.state.list_checksum import ListChecksum
@@ -41,6 +41,7 @@
         self.is_listed = False
         self._places = places
         self._by_name: dict[str, ForwardingBackend] = {}
+        self._starts: dict[str, str] = {}
         self._tokens = TokenHolders()
         self._endpoints = EndpointHolders()
         self._by_service: dict[str, dict[str, ForwardingBackend]] = {}
@@ -122,9 +123,11 @@
             the sender of the record knows.
         :returns: whether anything changed.
         """
-        backend = self._by_name.get(record.name)
-        if backend is None and self._has_left(record, complete_to):
+        if record.name not in self._by_name and self._has_left(record, complete_to):
+            return False
+        if not self._replace_former_start(record):
             return False
+        backend = self._by_name.get(record.name)
         if backend is None or record.revision > backend.revision:
             self._checksum.entered(record.name, record.number, record.revision)
         if backend is None:
@@ -137,6 +140,22 @@
         self._changed(record.name, record.service, record.revision)
         return True
 
+    def _replace_former_start(self, record: BackendRecord) -> bool:
+        """Forget the start before the one of a record, if there is one; return whether the record may count.
+
+        A back end that starts again under its id knows nothing of before: its token stands for the new start
+        from now on, and callers of flows with the former one are reset by it at their next packet.  News of
+        both may come in any order; the revision of the entry tells which start is the later one.
+        """
+        former = self._by_name.get(self._starts.get(identity_of(record.name), ""))
+        if former is None or not _is_other_start(record, former):
+            return True
+        if record.revision <= former.revision:
+            return False
+        self._checksum.left(former.name)
+        self._forget(former)
+        return True
+
     def take(self, known: KnownBackend, complete_to: int, now: float) -> bool:
         """Take a back end from a peer, with the state it has there.
 
@@ -170,7 +189,7 @@
         :param complete_to: revision up to which all changes are known here.
         """
         record, departed_s = known.record, known.departed_s
-        if record.name in self._by_name:
+        if record.name in self._by_name or not self._replace_former_start(record):
             return False
         is_listed = record.state is not BackendState.DEPARTED
         if is_listed and self._has_left(record, complete_to):
@@ -186,19 +205,30 @@
         self._changed(record.name, record.service, record.revision)
         return True
 
+    def withdraw(self, name: str, revision: int, now: float) -> bool:
+        """Note that the entry of a back end, named by its id, cannot be read any more as of a revision.
+
+        It is given no new flow, not even as a last resort: nothing says that it still serves.  Its open flows
+        go on, as those of one that has left the list: they break only if it has really ended.
+        """
+        return self.depart(name, revision, now - UNNOTICED_DEPARTURE_S)
+
     def depart(self, name: str, revision: int, now: float) -> bool:
-        """Note that a back end is no longer listed as of a revision."""
-        backend = self._by_name.get(name)
+        """Note that a back end is no longer listed as of a revision.
+
+        :param name: of one start of it, or its id for the latest one.
+        """
+        backend = self._by_name.get(self._starts.get(name, name))
         if backend is None or backend.state is BackendState.DEPARTED or revision < backend.revision:
             return False
-        self._checksum.left(name)
+        self._checksum.left(backend.name)
         backend.state = BackendState.DEPARTED
         backend.revision = revision
         backend.departed_at = now
         if backend.is_unreachable(now):
             backend.unreachable_until = now + DEPARTED_MEMORY_S
         self._endpoints.settle(backend)
-        self._changed(name, backend.service, revision)
+        self._changed(backend.name, backend.service, revision)
         return True
 
     def listed(
@@ -244,6 +274,7 @@
 
     def _add(self, backend: ForwardingBackend) -> None:
         self._by_name[backend.name] = backend
+        self._starts[identity_of(backend.name)] = backend.name
         self.cold_until = max(self.cold_until, backend.warm_at)
         self._by_service.setdefault(backend.service, {})[backend.name] = backend
         self._tokens.add(backend)
@@ -251,6 +282,7 @@
 
     def _forget(self, backend: ForwardingBackend) -> None:
         del self._by_name[backend.name]
+        self._starts.pop(identity_of(backend.name), None)
         self._endpoints.remove(backend)
         members = self._by_service[backend.service]
         del members[backend.name]
@@ -262,6 +294,12 @@
             self._candidates.pop(heir.service, None)
 
 
+def _is_other_start(record: BackendRecord, backend: ForwardingBackend) -> bool:
+    """Tell whether a record is of another start than a back end: it has another name, address or service."""
+    is_elsewhere = (record.host, record.port) != backend.endpoint or record.service != backend.service
+    return record.name != backend.name or is_elsewhere
+
+
 def _is_newer(record: BackendRecord, backend: ForwardingBackend) -> bool:
     """Tell whether a record is newer than what is held.
 
--- a/sloepond/core/forwarding/store/store_answers.py
+++ b/sloepond/core/forwarding/store/store_answers.py
@@ -15,6 +15,7 @@
     StoreAnswer,
     StoreCallFailed,
     Subject,
+    UnreadableBackend,
 )
 from sloepond.core.forwarding.local_state import LocalState
 from sloepond.core.forwarding.peers.dissemination import Dissemination
@@ -22,6 +23,12 @@
 from sloepond.core.forwarding.state.evacuated_halls import EvacuatedHalls, changed_halls
 from sloepond.core.forwarding.state.routes import RouteConfiguration
 from sloepond.core.forwarding.store.watcher import StoreWatcher
+from sloepond.core.token_bucket import TokenBucket
+
+UNREADABLE_LINES = 10
+"""Log lines about unreadable entries written at once; the counter counts all.  Not measured."""
+UNREADABLE_LINES_PER_S = 0.1
+"""Such lines a second after that: a list that holds many is read again and again.  Not measured."""
 
 
 class StoreAnswers:
@@ -35,6 +42,7 @@
         self._counters = local.counters
         self._dissemination = dissemination
         self._outbox = Outbox(local.counters)
+        self._unreadable_lines = TokenBucket(UNREADABLE_LINES_PER_S, UNREADABLE_LINES)
         self._now = 0.0
 
     def take_commands(self) -> list[Command]:
@@ -109,6 +117,8 @@
         :param revision: revision up to which the list certainly holds all changes.
         :param complete_to: revision up to which all changes are known here, if that is beyond the list.
         """
+        for unreadable in event.unreadable:
+            self._take_unreadable(unreadable)
         changed = self._backends.listed(event.records, revision, self._now, complete_to)
         self._backends.list_begins(event.revision)
         self._counters.backend_changes += changed
@@ -126,6 +136,9 @@
         :param complete_to: revision up to which all changes are known here, if that is beyond the answer.
         """
         for change in event.changes:
+            if isinstance(change, UnreadableBackend):
+                self._take_unreadable(change)
+                continue
             if isinstance(change, BackendRecord):
                 changed = self._backends.put(change, self._now, complete_to)
                 state = change.state.name.lower()
@@ -137,6 +150,16 @@
                 self._dissemination.change_learned(self._now)
                 self._outbox.log(LogKind.BACKEND_CHANGED, change.name, f"state={state} rev={change.revision}")
 
+    def _take_unreadable(self, entry: UnreadableBackend) -> None:
+        """Give a back end whose entry cannot be read no new flow."""
+        self._counters.backends_unreadable += 1
+        if self._backends.withdraw(entry.name, entry.revision, self._now):
+            self._counters.backend_changes += 1
+            self._dissemination.change_learned(self._now)
+        if self._unreadable_lines.take(self._now, 1.0):
+            detail = f"rev={entry.revision} reason={entry.reason}"
+            self._outbox.log(LogKind.BACKEND_UNREADABLE, entry.name, detail)
+
 
 def _certain_revision(event: BackendsRead, watcher: StoreWatcher) -> int:
     """Return the revision up to which a list certainly holds all changes.
--- a/sloepond/core/forwarding/store/watcher.py
+++ b/sloepond/core/forwarding/store/watcher.py
@@ -285,7 +285,7 @@
             self._is_valid = False
 
     def slept(self, now: float) -> None:
-        """Read everything as soon as possible after a sleep; an answer to an earlier read confirms nothing."""
+        """Read everything as soon as possible after a sleep; answers to earlier reads confirm nothing."""
         self._woke_at = now
         self.invalidate(now)
 
--- a/sloepond/platform/__main__.py
+++ b/sloepond/platform/__main__.py
@@ -1,7 +1,7 @@
 """Starts a balancer on the platform: binds its sockets, then loads the rest.
 
-What callers send meanwhile waits in the sockets' buffers.  Owns the signals of the process; relies on
-`binding` and `settings` to load next to nothing.
+What callers send meanwhile waits in the sockets' buffers.  Relies on `early_signals`, `binding` and
+`settings` to load next to nothing.
 """
 
 from __future__ import annotations
@@ -10,16 +10,12 @@
 
 gc.disable()  # Loading makes no garbage; collecting meanwhile takes a tenth of a start.
 
-# The modules in C under `signal` and `socket`: those load much, see `binding`.
-import _signal  # noqa: E402
-import _socket  # noqa: E402
-
-_SIGNALS = (_signal.SIGTERM, _signal.SIGINT, _signal.SIGHUP)
+from sloepond.runtime.forwarding.early_signals import receive_signals  # noqa: E402
 
 
 def main() -> None:
     """Run a balancer until SIGTERM has stopped it."""
-    signals = _receive_signals()
+    signals = receive_signals()
     from sloepond.platform.settings import read_settings
     from sloepond.runtime.forwarding.binding import bind_sockets
 
@@ -30,19 +26,5 @@
     run_balancer(settings, descriptors, signals)
 
 
-def _receive_signals() -> int:
-    """Return a descriptor that becomes readable with the number of each signal received."""
-    receiving, sending = _socket.socketpair(_socket.AF_UNIX, _socket.SOCK_STREAM)
-    sending.setblocking(False)
-    _signal.set_wakeup_fd(sending.detach(), warn_on_full_buffer=False)
-    for number in _SIGNALS:
-        _signal.signal(number, _leave_to_wakeup)
-    return receiving.detach()
-
-
-def _leave_to_wakeup(number: int, frame: object) -> None:
-    """Do nothing: the event loop reads the number from the wake-up socket."""
-
-
 if __name__ == "__main__":
     main()
--- a/sloepond/platform/documents.py
+++ b/sloepond/platform/documents.py
@@ -14,16 +14,16 @@
 import msgspec
 
 from sloepond.core.forwarding.packets import PORT_BITS
-from sloepond.core.forwarding.state.backend_records import BackendRecord, BackendState
+from sloepond.core.forwarding.state import entry_fields as fields
+from sloepond.core.forwarding.state.backend_records import BackendRecord, BackendState, start_name
 from sloepond.core.forwarding.state.routes import ColdStart, Route, RouteConfiguration, Share
 
-STATE_READY = "ready"
-"""State of a target that takes flows; any other means that it is leaving."""
+STATES = {"ready": BackendState.READY, "draining": BackendState.LEAVING}
+"""States of a target; an entry with another one is none of a target."""
+TARGETS_PREFIX = "servers/"
+"""Keys of targets' entries: followed by the id of a target."""
 KIND_UNSAFE = "unsafe"
 """Kind of requests that must not be repeated once they may have run; any other may be."""
-HEXADECIMAL_DIGITS = frozenset("0123456789abcdefABCDEF")
-IDENTITY_BITS = 64
-"""Width of a target's identity in a packet."""
 MS_PER_S = 1000.0
 
 
@@ -75,14 +75,22 @@
 
 
 class TargetDocument(msgspec.Struct):
-    """A target's entry; the platform's target is a back end here."""
+    """A target's entry; the platform's target is a back end here.
 
-    service: str
-    address: str = msgspec.field(name="addr")  # `ip:port`, for packets and health checks.
-    hall: str = msgspec.field(default="", name="zone")  # The platform's zone is a hall here.
-    slots: int = 1  # Requests it works on at once; not flows.
-    state: str = STATE_READY
-    slow_left_ms: float = msgspec.field(default=0.0, name="cold_left_ms")  # When the entry was written.
+    Targets write all fields but the last; where one is missing, another program has written the entry.
+    """
+
+    service: fields.Text
+    address: fields.Text = msgspec.field(name="addr")  # `ip:port`, for packets and health checks.
+    hall: fields.OptionalText = msgspec.field(name="zone")  # The platform's zone is a hall here.
+    version: str  # Of the target's software; not used here.
+    slots: fields.Slots  # Requests it works on at once; not flows.
+    state: fields.Text
+    slow_left_ms: fields.SlowMilliseconds = msgspec.field(name="cold_left_ms")  # When the entry was written.
+    heartbeats: fields.Count = msgspec.field(name="seq")  # Since its start; not used here.
+    born_ms: fields.Count = msgspec.field(
+        default=0, name="born"
+    )  # Unix time of its start; not on older platforms.
 
 
 class StoreItem(msgspec.Struct):
@@ -133,36 +141,28 @@
     """Return the back end in an item of the store.
 
     :raises msgspec.MsgspecError: if the value is no such JSON.
-    :raises ValueError: if it is no base64, or the address has no port.
+    :raises ValueError: if it is no base64, or key, address or state are none of a target.
+    :raises RecursionError: if the JSON is nested too deeply.
     """
-    document = _TARGET.decode(binascii.a2b_base64(value))
-    name = backend_name(key)
-    host, _, port = document.address.rpartition(":")
+    document = _TARGET.decode(binascii.a2b_base64(value, strict_mode=True))
+    identity = fields.checked_identity(key.removeprefix(TARGETS_PREFIX))
+    if document.state not in STATES:
+        raise ValueError(f"{document.state} is no state of a target")
+    host, port = fields.endpoint_of(document.address)
     return BackendRecord(
-        name=name,
-        number=identity_number(name),
+        name=start_name(identity, document.born_ms),
+        number=fields.number_of(identity),
         service=document.service,
         host=host,
-        port=int(port),
+        port=port,
         hall=document.hall,
         slots=document.slots,
-        state=BackendState.READY if document.state == STATE_READY else BackendState.LEAVING,
+        state=STATES[document.state],
         cold_s=document.slow_left_ms / MS_PER_S,
         revision=revision,
     )
 
 
-def backend_name(key: str) -> str:
-    """Return the id of a back end, the last part of its key in the store."""
-    return key.rpartition("/")[2]
-
-
-def identity_number(name: str) -> int:
-    """Return the hex digits of an id, after its last dash, as a number; of longer ones the last 64 bits."""
-    digits = "".join(digit for digit in name.rpartition("-")[2] if digit in HEXADECIMAL_DIGITS)
-    return int(digits or "0", 16) & (1 << IDENTITY_BITS) - 1
-
-
 def _cold_start(document: ServiceDocument) -> ColdStart:
     return ColdStart(document.name, document.slow_for_s or 0.0, document.slow_flows_per_s or 0.0)
 
--- a/sloepond/platform/store.py
+++ b/sloepond/platform/store.py
@@ -11,7 +11,6 @@
 from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
 from sloepond.core.forwarding.events import (
     BackendsChanged,
-    BackendsRead,
     DepartedBackend,
     RoutesChanged,
     RoutesRead,
@@ -19,15 +18,18 @@
     StoreEvent,
     StoreFailure,
     Subject,
+    UnreadableBackend,
+    backends_read,
 )
 from sloepond.core.forwarding.state.backend_records import BackendRecord
+from sloepond.core.forwarding.state.entry_fields import shortened
 from sloepond.core.forwarding.state.evacuated_halls import EvacuationChange
 from sloepond.platform.documents import (
     MS_PER_S,
+    TARGETS_PREFIX,
     PageAnswer,
     StoreItem,
     WatchAnswer,
-    backend_name,
     decode_configuration,
     decode_target,
 )
@@ -40,13 +42,12 @@
 """Followed by the name of a hall; the item's value says nothing."""
 OPERATOR_PREFIX = "op/"
 """All that operators write: one read or watch brings routes and evacuated halls together."""
-TARGETS_PREFIX = "servers/"
-"""Followed by the id of a target."""
 EMPTY_PREFIX = "op/config/"
 """Nothing stands below it: a read is as cheap as an answer can be."""
 _PREFIXES = {Subject.ROUTES: OPERATOR_PREFIX, Subject.BACKENDS: TARGETS_PREFIX}
-_DECODE_ERRORS = (msgspec.MsgspecError, ValueError, OSError)
-"""What decoding raises: JSON of another form, base64 or a number that is none, an address that is none."""
+_DECODE_ERRORS = (msgspec.MsgspecError, ValueError, OSError, RecursionError)
+"""What decoding raises: JSON of another form, base64 or a number that is none, an address that is none, JSON
+nested too deeply."""
 _PAGE = msgspec.json.Decoder(PageAnswer)
 _WATCH = msgspec.json.Decoder(WatchAnswer)
 
@@ -102,8 +103,7 @@
 
 def _read_backends(body: bytes) -> ReadPage:
     answer = _PAGE.decode(body)
-    records = tuple(decode_target(item.key, item.value, item.revision) for item in answer.items)
-    return ReadPage(BackendsRead(answer.revision, records), _next_page(answer))
+    return ReadPage(backends_read(answer.revision, map(_entry, answer.items)), _next_page(answer))
 
 
 def _next_page(answer: PageAnswer) -> str:
@@ -126,7 +126,20 @@
     )
 
 
-def _change(item: StoreItem) -> BackendRecord | DepartedBackend:
+def _change(item: StoreItem) -> BackendRecord | DepartedBackend | UnreadableBackend:
     if item.is_deleted:
-        return DepartedBackend(backend_name(item.key), item.revision)
-    return decode_target(item.key, item.value, item.revision)
+        return DepartedBackend(_name(item.key), item.revision)
+    return _entry(item)
+
+
+def _entry(item: StoreItem) -> BackendRecord | UnreadableBackend:
+    """Return the back end in an item; one that cannot be read costs no other its place."""
+    try:
+        return decode_target(item.key, item.value, item.revision)
+    except _DECODE_ERRORS as error:
+        return UnreadableBackend(_name(item.key), item.revision, shortened(_reason(error)))
+
+
+def _name(key: str) -> str:
+    """Return what an entry is called, whoever wrote it."""
+    return shortened(key.removeprefix(TARGETS_PREFIX))
--- a/sloepond/runtime/forwarding/store_pages.py
+++ b/sloepond/runtime/forwarding/store_pages.py
@@ -14,6 +14,7 @@
     StoreEvent,
     StoreFailure,
     Subject,
+    UnreadableBackend,
 )
 from sloepond.core.forwarding.state.backend_records import BackendRecord
 from sloepond.core.forwarding.state.routes import RouteConfiguration
@@ -74,6 +75,7 @@
         self._codec = codec
         self._retries = retries
         self._records: list[BackendRecord] = []
+        self._unreadable: list[UnreadableBackend] = []
         self._routes: RouteConfiguration | None = None
         self._evacuated: list[str] = []
         self._pages = 0
@@ -103,6 +105,7 @@
         event = page.event
         if isinstance(event, BackendsRead):
             self._records.extend(event.records)
+            self._unreadable.extend(event.unreadable)
         elif isinstance(event, RoutesRead):
             self._routes = event.configuration or self._routes
             self._evacuated.extend(event.evacuated)
@@ -114,5 +117,5 @@
             self.target = self._codec.read_target(self._command, page.next_page)
             return None
         if isinstance(event, BackendsRead):
-            return BackendsRead(self._revision, tuple(self._records))
+            return BackendsRead(self._revision, tuple(self._records), tuple(self._unreadable))
         return RoutesRead(self._revision, self._routes, tuple(self._evacuated))
