--- a/features/forwarding/store.feature
+++ b/features/forwarding/store.feature
@@ -73,3 +73,9 @@
 
   Scenario: A probe that fails, for whatever reason, is not repeated at once
     Then forwarding property: a reader whose probes fail sends at most four a second
+
+  Scenario: Calls made in the last moments of a silent outage keep nobody from what follows
+    A watch that is issued while the store says nothing is given up after 25.7 seconds only.  The
+    probes beside it are answered again as the outage ends, and what they bring counts as contact
+    with the store; that the watch tells nothing shows in the revisions that two probes name.
+    Then forwarding property: changes after an outage are known within 3 seconds, whatever hangs
--- /dev/null
+++ b/features/steps/forwarding_outage_steps.py
@@ -0,0 +1,76 @@
+"""Steps on calls made in the last moments of an outage of the store that says nothing."""
+
+from __future__ import annotations
+
+from behave import then
+from forwarding_fleet import TIMEOUT_S, Fleet, route
+from hypothesis import Phase, settings
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+from sloepond.core.forwarding.commands import WatchSubject
+from sloepond.core.forwarding.events import StoreFailure
+from sloepond.core.forwarding.state.backend_records import BackendState
+
+OUTAGE_S = 3.3
+SETTLED_S = 6.0
+WATCH_MARGIN_S = 0.7
+"""Seconds after the end of its wait at which the runtime gives a watch up."""
+LEAVING = 3
+"""Number of the back end that leaves after the outage."""
+WITHOUT_SHRINKING = (Phase.explicit, Phase.generate)
+"""A smaller seed of a fleet is no simpler case; looking for one takes minutes."""
+PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=30, phases=WITHOUT_SHRINKING)
+
+
+class DarkenedFleet(Fleet):
+    """A fleet whose calls made during an outage are lost for good, watches among them.
+
+    :ivar is_dark: whether the store says nothing.
+    """
+
+    is_dark = False
+
+    def call(self, ip, node, command):
+        """Lose a call made during the outage; it is given up when the runtime would."""
+        if not self.is_dark:
+            super().call(ip, node, command)
+            return
+        self.store.calls += 1
+        wait_s = TIMEOUT_S
+        if isinstance(command, WatchSubject):
+            wait_s = command.wait_s + WATCH_MARGIN_S
+        self.later(wait_s, ip, node, self.failure(command, StoreFailure.TIMED_OUT))
+
+    def darken(self, seconds):
+        """Let the store say nothing for a while; watches under way are lost too."""
+        self.is_dark = True
+        for (ip, _), (node, command) in list(self.watches.items()):
+            self.call(ip, node, command)
+        self.watches.clear()
+        self.run(seconds)
+        self.is_dark = False
+
+
+@then("forwarding property: changes after an outage are known within {seconds:g} seconds, whatever hangs")
+def known_after_outage(context, seconds):
+    @PROPERTY
+    @for_all(
+        st.integers(0, 9_999),
+        st.sampled_from((7, 24)),
+        st.floats(0.0, 1.2),
+        st.floats(0.0, 4.0),
+        st.booleans(),
+    )
+    def check(seed, count, since_probe_s, before_s, is_route):
+        fleet = DarkenedFleet(count, seed, loss=0.02, capacity=0.5)
+        fleet.run(SETTLED_S + since_probe_s)
+        fleet.darken(OUTAGE_S)
+        fleet.run(before_s)
+        if is_route:
+            fleet.store.configure([*fleet.store.routes.routes, route(seed % 1000 + 10)], fleet.now)
+        else:
+            fleet.store.put(LEAVING, fleet.now, BackendState.LEAVING)
+        fleet.run_until_known(seconds)
+
+    check()
