--- a/sloepond/core/forwarding/state/backend.py
+++ b/sloepond/core/forwarding/state/backend.py
@@ -107,6 +107,21 @@
         self.suspected_until = 0.0
         self.unreachable_until = 0.0
 
+    def is_other_start(self, record: BackendRecord) -> bool:
+        """Tell whether a record is of another start: it has another name, address or service."""
+        is_elsewhere = (record.host, record.port) != self.endpoint or record.service != self.service
+        return record.name != self.name or is_elsewhere
+
+    def is_older_than(self, record: BackendRecord) -> bool:
+        """Tell whether a record of this start is newer than what is held.
+
+        A start that has said that it leaves stays leaving.  One that was only missing in the list may come
+        back: its entry can lapse while it lives.
+        """
+        if record.revision <= self.revision:
+            return False
+        return not (self.said_leaving and record.state is BackendState.READY)
+
     def is_unreachable(self, now: float) -> bool:
         """Tell whether its flows are reset."""
         return self.unreachable_until > now
--- a/sloepond/core/forwarding/state/backends.py
+++ b/sloepond/core/forwarding/state/backends.py
@@ -132,7 +132,7 @@
             self._checksum.entered(record.name, record.number, record.revision)
         if backend is None:
             self._add(ForwardingBackend(record, now))
-        elif not _is_newer(record, backend):
+        elif not backend.is_older_than(record):
             return False
         else:
             backend.update(record, now)
@@ -148,7 +148,7 @@
         both may come in any order; the revision of the entry tells which start is the later one.
         """
         former = self._by_name.get(self._starts.get(identity_of(record.name), ""))
-        if former is None or not _is_other_start(record, former):
+        if former is None or not former.is_other_start(record):
             return True
         if record.revision <= former.revision:
             return False
@@ -292,20 +292,3 @@
         heir = self._tokens.remove(backend)
         if heir is not None:
             self._candidates.pop(heir.service, None)
-
-
-def _is_other_start(record: BackendRecord, backend: ForwardingBackend) -> bool:
-    """Tell whether a record is of another start than a back end: it has another name, address or service."""
-    is_elsewhere = (record.host, record.port) != backend.endpoint or record.service != backend.service
-    return record.name != backend.name or is_elsewhere
-
-
-def _is_newer(record: BackendRecord, backend: ForwardingBackend) -> bool:
-    """Tell whether a record is newer than what is held.
-
-    A start that has said that it leaves stays leaving.  One that was only missing in the list may come
-    back: its entry can lapse while it lives.
-    """
-    if record.revision <= backend.revision:
-        return False
-    return not (backend.said_leaving and record.state is BackendState.READY)
