--- a/features/forwarding/cold_starts.feature
+++ b/features/forwarding/cold_starts.feature
@@ -45,3 +45,11 @@
     Then forwarding lets a new flow wait
     When every call to the store fails for 0.2 seconds
     Then forwarding gives back ends new flows
+
+  Scenario: A peer's list that readers have left behind is not taken for confirmed
+    A fresh balancer had heard a reader confirm revision 132 when it took the list of a peer at
+    revision 120, which had itself missed that change a moment before (backends_age_s=0.13), and
+    gave new flows by it until 1.203 seconds from its start.
+    Given a forwarding node that spares slow back ends and has heard a reader confirm revision 132
+    When a peer sends its list of revision 120, confirmed 0.13 seconds ago
+    Then forwarding lets a new flow wait and reads the list again within 0.6 seconds
--- a/features/steps/forwarding_unconfirmed_steps.py
+++ b/features/steps/forwarding_unconfirmed_steps.py
@@ -11,12 +11,13 @@
     OpeningHeld,
     PeerMessageReceived,
     RoutesRead,
+    SnapshotReceived,
     StoreCallFailed,
     StoreFailure,
     Subject,
     TimerFired,
 )
-from sloepond.core.forwarding.peers.messages import Changes, Confirmation
+from sloepond.core.forwarding.peers.messages import Changes, Confirmation, KnownBackend, Snapshot
 from sloepond.core.forwarding.placement.slow_start import SlowStartLimit
 from sloepond.core.forwarding.state.routes import ColdStart, Route, RouteConfiguration, Share
 
@@ -126,3 +127,18 @@
 @then("forwarding lets a new flow wait")
 def still_waits(context):
     assert open_flow(context.harness, 4).hold
+
+
+@given("a forwarding node that spares slow back ends and has heard a reader confirm revision {revision:d}")
+def heard_reader(context, revision):
+    context.harness = harness = Harness(fresh_node(slow_start_limit=LIMIT))
+    changes = Changes(7, None, revision, revision, revision, (), list_checksum=1)
+    harness.handle(PeerMessageReceived(PEER, Confirmation(READER, 1.0, 1, False, 0.0, changes)))
+
+
+@when("a peer sends its list of revision {revision:d}, confirmed {age:g} seconds ago")
+def peer_sends_list(context, revision, age):
+    known = tuple(KnownBackend(each, 0.0) for each in old_records())
+    snapshot = Snapshot(ROUTES, age, known, age, revision)
+    context.harness.handle(SnapshotReceived(PEER, snapshot))
+    context.harness.reads(Subject.BACKENDS)
