--- a/sloepond/core/forwarding/peers/change_intake.py
+++ b/sloepond/core/forwarding/peers/change_intake.py
@@ -57,6 +57,11 @@
         """Request what is still missing."""
         self._catch_up.on_time(now)
 
+    @property
+    def knows_of_later_backends(self) -> bool:
+        """Whether a peer has named a later change of back ends than is known here."""
+        return self._catch_up.is_behind(Subject.BACKENDS)
+
     def brings_changes(self, changes: Changes) -> bool:
         """Tell whether changes hold something unknown here."""
         return self._catch_up.is_newer(changes)
--- a/sloepond/core/forwarding/peers/exchange.py
+++ b/sloepond/core/forwarding/peers/exchange.py
@@ -55,7 +55,7 @@
         self._outbox = Outbox(local.counters)
         self._heartbeats = Heartbeats(local, self._outbox)
         self._tokens = TokenLookup(local, self._outbox)
-        self._snapshots = Snapshots(local, dissemination.staleness, self._outbox)
+        self._snapshots = Snapshots(local, dissemination.staleness, dissemination.intake, self._outbox)
         self._unreachable = UnreachableGossip(local, reachability, self._outbox)
         self.bootstrap = Bootstrap(local)
 
--- a/sloepond/core/forwarding/peers/snapshots.py
+++ b/sloepond/core/forwarding/peers/snapshots.py
@@ -10,6 +10,7 @@
 from sloepond.core.forwarding.commands import LogKind, Outbox
 from sloepond.core.forwarding.events import SnapshotReceived, Subject
 from sloepond.core.forwarding.local_state import LocalState
+from sloepond.core.forwarding.peers.change_intake import ChangeIntake
 from sloepond.core.forwarding.peers.messages import Snapshot
 from sloepond.core.forwarding.store.staleness import Staleness
 
@@ -17,9 +18,10 @@
 class Snapshots:
     """Makes snapshots and takes those of peers."""
 
-    def __init__(self, local: LocalState, staleness: Staleness, outbox: Outbox) -> None:
+    def __init__(self, local: LocalState, staleness: Staleness, intake: ChangeIntake, outbox: Outbox) -> None:
         self._local = local
         self._staleness = staleness
+        self._intake = intake
         self._outbox = outbox
 
     def make(self, now: float) -> Snapshot:
@@ -56,9 +58,12 @@
         self._outbox.log(LogKind.KNOWLEDGE_TAKEN, event.ip, detail)
 
     def _note_confirmation(self, backends_age_s: float, now: float) -> None:
-        """Note whether the store or a reader of it has ever confirmed the peer's list of back ends."""
+        """Note whether the peer's list of back ends was ever confirmed, and readers know no later one.
+
+        A reader's confirmation may be here before the snapshot, and not the change at the peer.
+        """
         watcher = self._local.watchers[Subject.BACKENDS]
-        if backends_age_s < NEVER:
+        if backends_age_s < NEVER and not self._intake.knows_of_later_backends:
             watcher.peer_confirmed()
         else:
             watcher.peer_unconfirmed(now)
--- a/sloepond/core/forwarding/store/watcher.py
+++ b/sloepond/core/forwarding/store/watcher.py
@@ -157,9 +157,11 @@
             self._backoff.reset()
 
     def peer_unconfirmed(self, now: float) -> None:
-        """Note that all that is known comes from a peer to which nothing has ever been confirmed."""
+        """Note that all that is known comes from a peer that may know less than the readers."""
         if not self._was_confirmed:
             self.unconfirmed_since = min(self.unconfirmed_since, now)
+            self._may_begin_stale = False
+            self._read_at = min(self._read_at, now + self._confirm_delay(SHORT_LIST))
 
     def peer_confirmed(self) -> None:
         """Note that what is known here was current when a reader of the store last read or watched it."""
