--- a/features/forwarding/planned_stop.feature
+++ b/features/forwarding/planned_stop.feature
@@ -38,7 +38,7 @@
     The scenario above held for its seed, and for 21 of the first 40.  A heartbeat goes to a random
     few, and only it names its sender's hall: 6 s after its start a balancer had not heard of some
     of its hall, counted too many or too few of them as ready, and ended while routers used all:
-      0.0 10.1.0.12 stopping zone_ready=2 zone_others=3 (six in the hall)
+      1.0 10.1.0.12 stopping zone_ready=2 zone_others=3 (six in the hall)
       1.8 10.1.0.6 stop_completed reason=no_packets zone_ready=3 zone_others=3 (two were ready)
     Then for each of 8 seeds at most half as many packets are lost as with ends after 1.8 seconds
 
--- a/features/probe/failures.feature
+++ b/features/probe/failures.feature
@@ -23,6 +23,6 @@
   Scenario: A limit on a wait leaves out the time in which processes stand in line for a processor
     Beside 30 busy sessions the system gave all processes of three probes 8/31 of a core; each probe
     ended with "after 30 s: no every balancer to forward", as in the runs beside a busy machine.  The
-    stand-ins had taken 61 to 65 s to start, 0.5 s of it their own work.
+    stand-ins had taken 61 to 65 s to start, 12 to 15 s beside as many busy processes of one session.
     Then a probe wait of 0.3 seconds for what takes 0.8 holds where processes stood in line for 0.6, and else not
     And a probe counts how long its own processes stand in line
--- a/sloepond/demo/processor_wait.py
+++ b/sloepond/demo/processor_wait.py
@@ -2,8 +2,8 @@
 
 A limit on a wait says that something is broken, not that the machine is busy.  The system shares processors
 among sessions: beside 30 busy ones a demo of 30 processes gets 8/31 of a core, and its balancers needed more
-than the 30 s that they have to forward; alone, or beside 75 busy processes of its own session, they needed 1
-to 22 s (8 cores, three scenarios at once).  So limits leave out the time in which a process stood in line.
+than the 30 s that they have to forward; beside 30 or 75 busy processes of its own session they needed
+14 to 22 s (8 cores, three scenarios at once).  So limits leave out the time in which a process stood in line.
 
 Owns: what each process had waited when last asked.  Relies on the accounting of Linux (`schedstat`); where
 there is none, no wait is left out.
