--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -339,8 +339,8 @@
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         breaches = asyncio.run(_play(case, folder, balancers))
-    except (CannotRunError, OSError, TimeoutError) as error:
-        print(f"could not run: {error}")
+    except Exception as error:  # Anything else than a breach means that the case could not run.
+        print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
     print(f"{len(breaches)} breaches" + "".join(f"\n{text}" for text in breaches[:10]))
     sys.exit(1 if breaches else 0)
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -63,7 +63,8 @@
         item = Item(key, data, self.revision, before.made if before else self.revision)
         self._items[key] = item
         self._publish(item.document())
-        return self._note(f"store: {key} written at revision {self.revision}: {data.decode()[:400]}")
+        text = data.decode(errors="replace")[:400]
+        return self._note(f"store: {key} written at revision {self.revision}: {text}")
 
     def delete(self, key: str) -> float:
         """Remove an item; return the time of the acknowledgement."""
