--- a/review/1/case.py
+++ b/review/1/case.py
@@ -47,4 +47,5 @@
     ]
 
 
-conclude(case, pathlib.Path(__file__).parent, balancers=7)
+if __name__ == "__main__":
+    conclude(case, pathlib.Path(__file__).parent, balancers=7)
--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -162,7 +162,7 @@
 
     def close(self) -> None:
         """Close the flow."""
-        if self.is_open and not self.is_reset and not self.is_closed:
+        if self.is_open and not self.is_reset:
             self._send(FIN | ACK)
         self.is_closed = True
         self._host.flows.pop(self.port, None)
