--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,7 +5,7 @@
 import asyncio
 import pathlib
 
-from clients import keep_flow
+from clients import keep_flow, open_flows
 from deployment import Deployment, conclude, configuration, is_troubled
 
 PORT = 443
@@ -24,12 +24,15 @@
         client = await deployment.add_client(hall)
         for number in range(8):
             deployment.run(keep_flow(client, route, f"{hall}-{number}", 0.4))
+        deployment.run(open_flows(client, route, f"{hall}-fresh", 0.2))
     deployment.record.note("the clients begin")
     await asyncio.sleep(WRITTEN_AT_S)
     if is_troubled():
         entry = {**deployment.targets[0].entry(), "service": "metrics-agent", "version": "agent-2", "seq": 1}
         deployment.store.put("servers/agent-7f21d0e8", entry)
     await asyncio.sleep(LENGTH_S - WRITTEN_AT_S)
+    refused = sum(reset.is_of_system for client in deployment.clients for reset in client.resets)
+    deployment.record.note(f"resets of the system, in open flows and while flows open: {refused}")
     if not any(attempt.outcome == "answered" for client in deployment.clients for attempt in client.attempts):
         return ["no request was served"]
     return foreign_resets(deployment)
