--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -24,8 +24,7 @@
 from packets import Packet
 from record import Record
 from store import Store
-
-from target import Target
+from targets import Target
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 POLL_S = 0.5
