A back end whose entry names another hall counts as in that hall

Cause: ForwardingBackend took the hall of the first record and never that of a newer one, so a back end whose entry moved to an evacuated hall was given new flows there, and one that moved out of it got none.

Change: update() takes the hall, as it takes slots and state.

Found by the property on lost answers, of which a changed hall is one kind of change.

--- a/features/forwarding/evacuation.feature
+++ b/features/forwarding/evacuation.feature
@@ -17,6 +17,12 @@
   Scenario: Open flows stay; new flows go to other halls or are refused at once
     Then forwarding property: no new flow goes to an evacuated hall, and every open flow stays
 
+  Scenario: A back end whose entry names another hall counts as in that hall
+    Guards against new flows in an evacuated hall.  The hall of a back end's first entry was kept for its life.
+    Given a forwarding node with routes and back ends
+    When the entries of all back ends move to hall south, which is evacuated
+    Then forwarding refuses a new flow at once because there is no back end
+
   Scenario: A restored hall gets flows only under the slow-start limit until its back ends are warm
     Given a forwarding node with a limit for slow start
     When forwarding reads that hall south is evacuated and then restored
--- a/features/steps/forwarding_evacuation_steps.py
+++ b/features/steps/forwarding_evacuation_steps.py
@@ -5,9 +5,10 @@
 import random
 from collections import defaultdict
 
+import msgspec
 from behave import given, then, when
 from forwarding_fleet import Fleet, route
-from forwarding_model import ROUTES, STREAM, Harness, fresh_node, record, segment
+from forwarding_model import ROUTES, STREAM, Harness, fresh_node, record, records, segment
 from hypothesis import Phase, settings
 from hypothesis import given as for_all
 from hypothesis import strategies as st
@@ -128,6 +129,15 @@
     harness.run_to(harness.now + 3.0, TimerFired())
 
 
+@when("the entries of all back ends move to hall south, which is evacuated")
+def moved_to_evacuated(context):
+    harness = context.harness
+    harness.handle(RoutesRead(30, ROUTES, ("south",)))
+    moved = (msgspec.structs.replace(each, hall="south", revision=31) for each in records())
+    harness.handle(BackendsChanged(31, tuple(moved)))
+    harness.run_to(harness.now + 3.0, TimerFired())
+
+
 @then("forwarding refuses a new flow at once because there is no back end")
 def refused_at_once(context):
     decision = context.harness.node.decide(segment(STREAM, 1, opening=True), context.harness.now)
--- a/sloepond/core/forwarding/state/backend.py
+++ b/sloepond/core/forwarding/state/backend.py
@@ -76,7 +76,6 @@
         self.number = record.number
         self.service = record.service
         self.endpoint = Endpoint(record.host, record.port)
-        self.hall = record.hall
         self.token = token_of(record.number)
         self.token_bytes = self.token.to_bytes(4, "big")
         self.prefix = record.number.to_bytes(8, "big")
@@ -99,6 +98,7 @@
     def update(self, record: BackendRecord, now: float) -> None:
         """Apply a newer record of the back end."""
         self.slots = max(1, record.slots)
+        self.hall = record.hall
         self.state = record.state
         if record.state is BackendState.LEAVING:
             self.announced_leaving = True
