Lost answers to watches hide no later change: each watch is verified by itself

Cause: a reader took as known the highest revision that either of its watches had brought, though the store counts all keys together, so a change brought by one watch hid what the other had missed; a watch that had lost its answer was kept for 25.7 s; answers to other calls put off the probe that shows the revision.

Change: any answer of the store shows the revision it has reached. A watch in flight that has not brought it 1.0 s later is verified: the store is asked for the changes of that subject since the known revision, without waiting. A watch that has lost an answer is given up and replaced, as is one in flight while another call fails. The read of everything with its backoff up to 60 s is gone.

Why it works: the answer to a verification is about one subject and counts for that subject alone, so no change of another one can stand in for it; what is lost on the way of a verification or a read fails after 0.7 s, and everything is read.

--- a/features/forwarding/store_client.feature
+++ b/features/forwarding/store_client.feature
@@ -20,6 +20,15 @@
     When forwarding reads routes of which the second half never arrives
     Then forwarding reports the read as timed out
 
+  Scenario: A verification asks for the changes without waiting for any
+    When forwarding verifies a watch of the routes after revision 7, and the store answers with version 4
+    Then forwarding has requested the changes after revision 7 with a wait of 0 milliseconds
+    And forwarding reports the version as the answer to a verification
+
+  Scenario: A verification whose answer is lost fails soon, and is no failure of the watch
+    When forwarding verifies a watch of the routes after revision 7, and the store never answers
+    Then forwarding has timed out the verification after the limit on silence
+
   Scenario: Responses, requests and queries are parsed and encoded as by the libraries
     Then http property: a response is parsed as by h11, in whatever pieces it arrives
     And http property: bytes that are not a response are an error or incomplete, never a response
--- a/features/steps/forwarding_client_steps.py
+++ b/features/steps/forwarding_client_steps.py
@@ -14,9 +14,15 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
+from sloepond.core.forwarding.commands import ReadSubject, VerifySubject, WatchSubject
 from sloepond.core.forwarding.counters import ForwardingCounters
-from sloepond.core.forwarding.events import RoutesRead, StoreCallFailed, StoreFailure, Subject
+from sloepond.core.forwarding.events import (
+    RoutesChanged,
+    RoutesRead,
+    StoreCallFailed,
+    StoreFailure,
+    Subject,
+)
 from sloepond.core.forwarding.state.backend_records import Endpoint
 from sloepond.platform.store import PlatformStoreCodec
 from sloepond.runtime.forwarding.event_loop import EventLoop
@@ -223,6 +229,50 @@
     return None
 
 
+def verify_routes(context, parts):
+    """Verify a watch of the routes at a store that sends these parts of its response."""
+    loop = SimulatedLoop()
+    stream = answer_in_parts(loop, parts)
+    store = StoreClient(loop, "10.0.0.1:80", PlatformStoreCodec(), silent_log(context))
+    store._client = SlowClient(loop, stream)
+    started_at = loop.clock()
+    context.answer = loop.run_to_end(store.verify(VerifySubject(Subject.ROUTES, 7)))
+    context.duration_s = loop.clock() - started_at
+    context.request = stream.sent.decode()
+
+
+@when("forwarding verifies a watch of the routes after revision 7, and the store answers with version 4")
+def verifies_answered(context):
+    value = base64.b64encode(json.dumps({"version": 4, "routes": []}).encode()).decode()
+    event = {"key": "op/config", "value": value, "rev": 9}
+    body = json.dumps({"events": [event], "at": 9}).encode()
+    verify_routes(context, [f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body])
+
+
+@when("forwarding verifies a watch of the routes after revision 7, and the store never answers")
+def verifies_unanswered(context):
+    verify_routes(context, [])
+
+
+@then("forwarding has requested the changes after revision 7 with a wait of 0 milliseconds")
+def requested_at_once(context):
+    assert "/api/kv-watch?path_prefix=op/&after=7&wait_ms=0 " in context.request, context.request
+
+
+@then("forwarding reports the version as the answer to a verification")
+def reported_verification(context):
+    answer = context.answer
+    assert isinstance(answer, RoutesChanged) and answer.is_verification, answer
+    assert (answer.revision, [each.version for each in answer.configurations]) == (9, [4])
+
+
+@then("forwarding has timed out the verification after the limit on silence")
+def verification_timed_out(context):
+    expected = StoreCallFailed(Subject.ROUTES, StoreFailure.TIMED_OUT, False, was_verification=True)
+    assert context.answer == expected, context.answer
+    assert abs(context.duration_s - SILENCE_S) < 0.01, context.duration_s
+
+
 @then("http property: a response is parsed as by h11, in whatever pieces it arrives")
 def read_alike(context):
     @PROPERTY
--- a/features/steps/forwarding_fleet.py
+++ b/features/steps/forwarding_fleet.py
@@ -16,6 +16,8 @@
     ProbeStore,
     ReadSubject,
     SendToPeer,
+    StoreCommand,
+    VerifySubject,
     WatchSubject,
 )
 from sloepond.core.forwarding.events import (
@@ -65,10 +67,10 @@
         for number in range(1, 8):
             self.put(number, 0.0)
 
-    def put(self, number, now, state=BackendState.READY):
+    def put(self, number, now, state=BackendState.READY, hall="north"):
         """Write a back end's entry."""
         self.revision += 1
-        entry = record(number, revision=self.revision, state=state)
+        entry = record(number, revision=self.revision, state=state, hall=hall)
         self.backends[entry.name] = entry
         self.log.append((now, Subject.BACKENDS, self.revision, entry))
 
@@ -113,14 +115,20 @@
 
     def changes(self, command):
         """Return the event that answers a watch, None if nothing has changed."""
-        found = [
-            (revision, change)
+        answer = self.all_changes(command)
+        return None if answer.is_empty else msgspec.structs.replace(answer, generation=command.generation)
+
+    def verification(self, command):
+        """Return the event that answers a verification at once."""
+        return msgspec.structs.replace(self.all_changes(command), is_verification=True)
+
+    def all_changes(self, command):
+        """Return the event with all changes of a subject since a revision, which may be none."""
+        values = tuple(
+            change
             for _, subject, revision, change in self.log
             if subject is command.subject and revision > command.after
-        ]
-        if not found:
-            return None
-        values = tuple(change for _, change in found)
+        )
         if command.subject is Subject.BACKENDS:
             return BackendsChanged(self.revision, values)
         halls = tuple(change for change in values if isinstance(change, EvacuationChange))
@@ -136,6 +144,7 @@
     :ivar storeless: addresses whose calls to the store time out.
     :ivar loses_answers: whether the answers of watches are lost, so that they time out.
     :ivar refused: addresses whose calls the store refuses.
+    :ivar verifications: number of verifications of watches.
     """
 
     def __init__(self, count, seed=1, loss=0.0, seeds=3, **options):
@@ -148,6 +157,7 @@
         self.storeless = set()
         self.refused = set()
         self.loses_answers = False
+        self.verifications = 0
         self.nodes = {}
         self.watches = {}
         self.datagrams = 0
@@ -188,7 +198,7 @@
                 self.fetch(ip, node, command.ip)
             elif isinstance(command, FetchRoutes):
                 self.fetch_routes(ip, node, command)
-            elif isinstance(command, ReadSubject | WatchSubject | ProbeStore):
+            elif isinstance(command, StoreCommand):
                 self.call(ip, node, command)
 
     def send(self, ip, command):
@@ -230,6 +240,7 @@
     def call(self, ip, node, command):
         """Call the store."""
         self.store.calls += 1
+        self.verifications += isinstance(command, VerifySubject)
         if isinstance(command, ReadSubject) and command.subject is Subject.ROUTES:
             self.store.route_reads += 1
         if ip in self.storeless:
@@ -239,6 +250,8 @@
         elif isinstance(command, WatchSubject):
             self.watches[(ip, command.subject)] = (node, command)
             self.answer_watches()
+        elif isinstance(command, VerifySubject):
+            self.later(ANSWER_S, ip, node, self.store.verification(command))
         elif isinstance(command, ProbeStore):
             self.later(ANSWER_S, ip, node, StoreProbed(None, self.store.revision))
         else:
@@ -249,7 +262,10 @@
         """Return the event of a failed call."""
         if isinstance(command, ProbeStore):
             return StoreProbed(reason)
-        return StoreCallFailed(command.subject, reason, isinstance(command, WatchSubject))
+        failed = StoreCallFailed(command.subject, reason, isinstance(command, WatchSubject))
+        if isinstance(command, WatchSubject):
+            return msgspec.structs.replace(failed, generation=command.generation)
+        return msgspec.structs.replace(failed, was_verification=isinstance(command, VerifySubject))
 
     def answer_watches(self):
         """Answer the watches for which there are changes; those of `storeless` nodes get no answer."""
@@ -311,5 +327,39 @@
             return False
         if set(node.evacuations.current.halls) != self.store.evacuated:
             return False
-        listed = {b.name: b.state for b in node.backends if b.state is not BackendState.DEPARTED}
-        return listed == {entry.name: entry.state for entry in self.store.backends.values()}
+        listed = {b.name: (b.state, b.hall) for b in node.backends if b.state is not BackendState.DEPARTED}
+        return listed == {entry.name: (entry.state, entry.hall) for entry in self.store.backends.values()}
+
+    def has_changes_to(self, node, revision):
+        """Return whether a node knows each change up to a revision, or a later one of the same key."""
+        known = {b.name: (b.state, b.hall) for b in node.backends if b.state is not BackendState.DEPARTED}
+        possible = {}
+        for _, _, changed_at, change in self.store.log:
+            if changed_at <= revision or change_key(change) in possible:
+                states = possible.setdefault(change_key(change), [])
+                states[:] = states if changed_at > revision else []
+                states.append(change)
+        return all(
+            any(is_applied(node, known, change) for change in changes) for changes in possible.values()
+        )
+
+
+def change_key(change):
+    """Return what a change in the store's log is about."""
+    if isinstance(change, RouteConfiguration):
+        return "routes"
+    return change.hall if isinstance(change, EvacuationChange) else change.name
+
+
+def is_applied(node, known, change):
+    """Return whether a node shows a change; of the routes, that version or a later one.
+
+    :param known: state and hall of the node's listed back ends by name.
+    """
+    if isinstance(change, RouteConfiguration):
+        return node.routes.version >= change.version
+    if isinstance(change, EvacuationChange):
+        return (change.hall in node.evacuations.current.halls) is change.is_evacuated
+    if isinstance(change, DepartedBackend):
+        return change.name not in known
+    return known.get(change.name) == (change.state, change.hall)
--- a/sloepond/core/forwarding/commands.py
+++ b/sloepond/core/forwarding/commands.py
@@ -34,11 +34,23 @@
 
     :ivar after: revision of the store up to which changes are known.
     :ivar timeout_s: seconds for which the store may hold the call open.
+    :ivar generation: number of watches of the subject that were given up before this one.
     """
 
     subject: Subject
     after: int
     timeout_s: float
+    generation: int = 0
+
+
+class VerifySubject(msgspec.Struct, frozen=True):
+    """Ask for the changes of a subject after a revision, without waiting: a watch may have lost its answer.
+
+    :ivar after: revision of the store up to which changes are known.
+    """
+
+    subject: Subject
+    after: int
 
 
 class ProbeStore(msgspec.Struct, frozen=True):
@@ -147,10 +159,11 @@
     detail: str = ""
 
 
+StoreCommand = ReadSubject | WatchSubject | VerifySubject | ProbeStore
+"""Commands to call the store."""
+
 Command = (
-    ReadSubject
-    | WatchSubject
-    | ProbeStore
+    StoreCommand
     | CheckBackend
     | SendToPeer
     | FetchSnapshot
--- a/sloepond/core/forwarding/counters.py
+++ b/sloepond/core/forwarding/counters.py
@@ -53,7 +53,8 @@
     :ivar store_reads: reads of a whole subject.
     :ivar store_watches: watches.
     :ivar store_probes: probes.
-    :ivar store_failures: reads and watches that failed.
+    :ivar store_verifications: verifications of a watch that may have lost its answer.
+    :ivar store_failures: reads, watches and verifications that failed.
     :ivar store_bytes_received: bytes of the store's answers.
     :ivar own_reads: reads by a follower that receives no confirmations.
     :ivar configurations_taken: versions of the routes that came into force.
@@ -63,7 +64,7 @@
     :ivar knowledge_old: times that routes or back ends became stale (`STALE_AFTER_S`).
     :ivar behind_peers: reads of the store because no peer sent newer content that another peer holds.
     :ivar lists_differing: reads because the readers hold a different list of back ends.
-    :ivar changes_missed: reads because a probe showed a change that no watch had brought.
+    :ivar changes_missed: verifications that showed a change which the watch had not brought.
     :ivar role_changes: changes of the role in the reader election.
     :ivar stalls_detected: times that the process had not run for longer than `STALL_THRESHOLD_S`.
 
@@ -128,6 +129,7 @@
     store_reads: int = 0
     store_watches: int = 0
     store_probes: int = 0
+    store_verifications: int = 0
     role_changes: int = 0
     store_failures: int = 0
     configurations_taken: int = 0
--- a/sloepond/core/forwarding/events.py
+++ b/sloepond/core/forwarding/events.py
@@ -94,16 +94,25 @@
 
 
 class RoutesChanged(msgspec.Struct, frozen=True):
-    """A watch of the routes was answered.
+    """A watch of the routes was answered, or a verification of it.
 
     :ivar revision: the store's revision up to which these are all changes.
     :ivar configurations: the routes as they were written, oldest first.
     :ivar halls: evacuations and withdrawals of evacuations, oldest first.
+    :ivar generation: that of the watch, see `WatchSubject`.
+    :ivar is_verification: whether this answers a verification, not a watch.
     """
 
     revision: int
     configurations: tuple[RouteConfiguration, ...]
     halls: tuple[EvacuationChange, ...] = ()
+    generation: int = 0
+    is_verification: bool = False
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is no change."""
+        return not self.configurations and not self.halls
 
 
 class DepartedBackend(msgspec.Struct, frozen=True):
@@ -114,27 +123,44 @@
 
 
 class BackendsChanged(msgspec.Struct, frozen=True):
-    """A watch of the back ends was answered.
+    """A watch of the back ends was answered, or a verification of it.
 
     :ivar revision: the store's revision up to which these are all changes.
     :ivar changes: changes in the order in which they were written.
+    :ivar generation: that of the watch, see `WatchSubject`.
+    :ivar is_verification: whether this answers a verification, not a watch.
     """
 
     revision: int
     changes: tuple[BackendRecord | DepartedBackend | UnreadableBackend, ...]
+    generation: int = 0
+    is_verification: bool = False
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is no change."""
+        return not self.changes
 
 
 class StoreCallFailed(msgspec.Struct, frozen=True):
-    """A read or a watch failed.
+    """A read, a watch or a verification failed.
 
-    :ivar was_watch: whether it was a watch, not a read.
+    :ivar was_watch: whether it was a watch.
     :ivar detail: why the answer cannot be decoded, for a log line; else empty.
+    :ivar generation: that of the watch, see `WatchSubject`.
+    :ivar was_verification: whether it was a verification; if neither, it was a read.
     """
 
     subject: Subject
     reason: StoreFailure
     was_watch: bool
     detail: str = ""
+    generation: int = 0
+    was_verification: bool = False
+
+
+ChangesEvent = RoutesChanged | BackendsChanged | StoreCallFailed
+"""Result of a watch or a verification."""
 
 
 class StorePageReceived(msgspec.Struct, frozen=True):
--- a/sloepond/core/forwarding/store/probing.py
+++ b/sloepond/core/forwarding/store/probing.py
@@ -1,8 +1,8 @@
 """Probes the store to detect outages and missed changes, and to replace confirmations that do not come.
 
 Owns: what the end of a probe leads to.  Relies on: `StoreContact` (whether the store answers, and when to
-probe it), `StalenessBound` (whether this balancer must probe because no reader confirms anything),
-`MissedChanges` (whether the store has changes that no watch has brought).
+probe it), `StalenessBound` (whether this balancer must probe because no reader confirms anything), the
+watchers, which compare the store's revision with what they know.
 """
 
 from __future__ import annotations
@@ -10,11 +10,10 @@
 import random
 
 from sloepond.core.deadlines import NEVER
-from sloepond.core.forwarding.commands import LogKind, Outbox, ProbeStore
+from sloepond.core.forwarding.commands import Outbox, ProbeStore
 from sloepond.core.forwarding.events import StoreCallFailed, StoreProbed
 from sloepond.core.forwarding.local_state import LocalState
 from sloepond.core.forwarding.peers.reader_election import ReaderElection
-from sloepond.core.forwarding.store.missed_changes import KnownContent, MissedChanges
 from sloepond.core.forwarding.store.staleness import STALE_AFTER_S, Staleness
 from sloepond.core.forwarding.store.staleness_bound import StalenessBound
 from sloepond.core.forwarding.store.store_contact import StoreContact
@@ -40,7 +39,6 @@
         self._outbox = outbox
         self._contact = StoreContact(local.random_source)
         self._bound = StalenessBound(change_limit_s, random.Random(election.identity))
-        self._missed = MissedChanges()
 
     @property
     def may_read(self) -> bool:
@@ -55,7 +53,6 @@
     def begin(self, now: float) -> None:
         """Begin regular probes: this balancer has become a reader."""
         self._contact.begin(now)
-        self._missed.begin()
 
     def end(self) -> None:
         """Stop regular probes."""
@@ -96,7 +93,8 @@
         self._contact.probe_ended()
         was_for_bound = self._bound.ended()
         if event.failure is None:
-            self._check_for_missed_changes(event.revision, now)
+            for watcher in self._local.watchers.values():
+                watcher.store_reached(event.revision, now)
             self.store_answered(now)
             if was_for_bound:
                 self._read_stale_subjects(now)
@@ -124,21 +122,3 @@
             if not self._election.is_reader and self._staleness.of(subject, now) >= STALE_AFTER_S:
                 self._local.counters.own_reads += 1
                 watcher.invalidate(now)
-
-    def _check_for_missed_changes(self, revision: int, now: float) -> None:
-        """Read everything if the store has had a change since the last probe that no watch has brought."""
-        if not self._election.is_reader:
-            return
-        watchers = self._local.watchers.values()
-        known = KnownContent(
-            max(watcher.revision for watcher in watchers),
-            self._local.routes.version,
-            self._local.backends.list_checksum,
-        )
-        if not self._missed.probe_answered(revision, known, now):
-            return
-        for watcher in watchers:
-            watcher.require_read(now)
-        self._local.counters.changes_missed += 1
-        detail = f"store_rev={revision} known_rev={known.revision}"
-        self._outbox.log(LogKind.CHANGE_MISSED, "store", detail)
--- a/sloepond/core/forwarding/store/store_answers.py
+++ b/sloepond/core/forwarding/store/store_answers.py
@@ -60,6 +60,8 @@
         if watcher.failures:
             self._outbox.log(LogKind.STORE_REGAINED, subject.name.lower(), f"failures={watcher.failures}")
         self._apply_answer(event, watcher)
+        for each in self._watchers.values():
+            each.store_reached(event.revision, now)
         self._dissemination.store_answered(self._now)
 
     def _apply_answer(self, event: StoreAnswer, watcher: StoreWatcher) -> None:
@@ -72,21 +74,38 @@
             for configuration in event.configurations:
                 self._apply_routes(configuration)
             self._apply_evacuated(apply_hall_changes(self._evacuations.current, event.halls, event.revision))
-            watcher.watched(event.revision, self._now)
+            self._changes_answered(event, Subject.ROUTES)
         elif isinstance(event, BackendsRead):
             revision = _complete_revision(event, watcher)
             self._apply_list(event, revision, watcher.revision_beyond(revision))
             watcher.read(revision, self._now, len(event.records))
         else:
             self._apply_changes(event, watcher.revision_beyond(event.revision))
-            watcher.watched(event.revision, self._now)
+            self._changes_answered(event, Subject.BACKENDS)
+
+    def _changes_answered(self, event: RoutesChanged | BackendsChanged, subject: Subject) -> None:
+        """Record the answer to a watch or to a verification, and log if a watch has lost its answer."""
+        watcher = self._watchers[subject]
+        if not event.is_verification:
+            watcher.watched(event.revision, self._now, event.generation)
+            return
+        known_revision = watcher.revision
+        if watcher.verified(event.revision, event.is_empty, self._now):
+            self._counters.changes_missed += 1
+            detail = f"store_rev={event.revision} known_rev={known_revision}"
+            self._outbox.log(LogKind.CHANGE_MISSED, subject.name.lower(), detail)
 
     def _failed(self, event: StoreCallFailed) -> None:
         self._counters.store_failures += 1
         watcher = self._watchers[event.subject]
+        if event.was_watch and watcher.is_given_up(event.generation):
+            return
         if not watcher.failures:
             self._outbox.log(LogKind.STORE_LOST, event.subject.name.lower(), f"reason={event.reason.value}")
-        watcher.failed(event.reason, event.was_watch, self._now)
+        if event.was_verification:
+            watcher.verification_failed(event.reason, self._now)
+        else:
+            watcher.failed(event.reason, event.was_watch, self._now)
         self._dissemination.store_failed(event, self._now)
 
     def _apply_routes(self, configuration: RouteConfiguration | None) -> None:
--- a/sloepond/core/forwarding/store/watcher.py
+++ b/sloepond/core/forwarding/store/watcher.py
@@ -2,10 +2,12 @@
 
 Only a reader watches and repeats its reads.  A follower reads only when needed, and receives changes from
 the readers.  An open watch shows nothing about changes before it, so a watch that fails is followed by a
-read, and by one more read a little later.
+read, and by one more read a little later.  Nor does it show that its connection still works, so a watch that
+does not bring what the store is known to have changed is verified, and given up if its answer was lost.
 
 Owns: when the next read and the next watch are issued, and the revision up to which changes are known.
-Relies on: `StoreBackoff` after failures, the calling module to issue calls only while the store answers.
+Relies on: `StoreBackoff` after failures, `WatchInFlight` to decide when a watch is verified, the calling
+module to issue calls only while the store answers.
 """
 
 from __future__ import annotations
@@ -13,9 +15,10 @@
 import random
 
 from sloepond.core.deadlines import NEVER
-from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
+from sloepond.core.forwarding.commands import ReadSubject, VerifySubject, WatchSubject
 from sloepond.core.forwarding.events import StoreFailure, Subject
 from sloepond.core.forwarding.store.backoff import READ_DELAYS_S, StoreBackoff
+from sloepond.core.forwarding.store.watch_in_flight import WatchInFlight
 
 WATCH_TIMEOUT_S = 25.0
 """Seconds for which the store may hold one watch open.  A lost answer is detected after this time at the
@@ -44,13 +47,14 @@
 """Seconds until a longer first list is read again, drawn from 1 to 2 times this.  Such a read takes many
 calls, and meanwhile readers are elected whose confirmations replace it."""
 
-StoreCall = ReadSubject | WatchSubject
+StoreCall = ReadSubject | WatchSubject | VerifySubject
 
 
 class StoreWatcher:
     """Schedules the reads and watches of one subject.
 
-    At most one read and one watch are in flight at a time.
+    At most one read, one watch and one verification are in flight at a time, apart from watches that were
+    given up: their answers are facts too, but change nothing in the schedule.
 
     :param random_source: shared by all parts of the node.
     :param spread_source: spreads reads that a whole fleet issues at the same time, so it must differ between
@@ -75,7 +79,7 @@
         self._is_reading = False
         self._is_reading_stale = False
         self._may_read_stale = subject is Subject.BACKENDS
-        self._is_watching = False
+        self._watch = WatchInFlight()
         self._next_call_at = 0.0
         self._read_at = -NEVER
         self._read_issued_at = -NEVER
@@ -83,7 +87,6 @@
         self._follows_failure = False
         self._is_read_required = False
         self._has_content = False
-        self._watch_started_at = -NEVER
         self._start_phase_until = -NEVER
         self._was_confirmed = False
         self.is_watcher = False
@@ -121,11 +124,17 @@
         """Return when `on_timer` has something to do."""
         read_at = NEVER if self._is_reading else max(self._read_at, self._next_call_at)
         watch_at = self._next_call_at if self._may_watch else NEVER
-        return min(read_at, watch_at)
+        return min(read_at, watch_at, self._verification_at)
 
     @property
     def _may_watch(self) -> bool:
-        return self.is_watcher and self._is_valid and not self._is_watching
+        return self.is_watcher and self._is_valid and not self._watch.is_open
+
+    @property
+    def _verification_at(self) -> float:
+        if not (self.is_watcher and self._is_valid):
+            return NEVER
+        return max(self._next_call_at, self._watch.verification_due_at(self._revision))
 
     def hold_until(self, time: float) -> None:
         """Issue no call before a time."""
@@ -135,6 +144,7 @@
         """Read everything now, then watch."""
         self.is_watcher = True
         self._is_valid = False
+        self._watch.give_up()
         self._may_read_stale = False
         self._follows_failure = False
         self._start_phase_until = now + START_PHASE_DURATION_S
@@ -186,12 +196,18 @@
             self._read_issued_at = now
             self._is_reading_stale = self._may_read_stale
             calls.append(ReadSubject(self._subject, self._is_reading_stale))
+        if now >= self._verification_at:
+            self._watch.verification_issued(now)
+            calls.append(VerifySubject(self._subject, self._revision))
         if self._may_watch:
-            self._is_watching = True
-            self._watch_started_at = now
-            calls.append(WatchSubject(self._subject, self._revision, WATCH_TIMEOUT_S))
+            self._watch.begin(now)
+            calls.append(WatchSubject(self._subject, self._revision, WATCH_TIMEOUT_S, self._watch.generation))
         return calls
 
+    def store_reached(self, revision: int, now: float) -> None:
+        """Record a revision that the store has reached, according to its answer to any call."""
+        self._watch.store_reached(revision, self._revision, now)
+
     def read(self, revision: int, now: float, items: int = 0) -> None:
         """Record that everything was read as of a revision.
 
@@ -251,24 +267,52 @@
             return REREAD_AFTER_BREAK_S
         return REREAD_INTERVAL_S[self._subject] * (0.75 + 0.5 * drawn)
 
-    def watched(self, revision: int, now: float) -> None:
-        """Record that a watch was answered."""
-        self._is_watching = False
+    def watched(self, revision: int, now: float, generation: int = 0) -> None:
+        """Record that a watch was answered; the answer to one that was given up changes nothing here."""
+        if self.is_given_up(generation):
+            return
+        self._watch.end()
         self._answered(revision)
         interval_s = MINIMUM_WATCH_INTERVAL_S[self._subject]
         if now < self._start_phase_until:
             interval_s = min(interval_s, START_WATCH_INTERVAL_S)
-        self._next_call_at = max(now, self._watch_started_at + interval_s)
+        self._next_call_at = self._watch.next_at(interval_s, now)
 
-    def failed(self, reason: StoreFailure, was_watch: bool, now: float) -> None:
-        """Record that a call failed; the next call reads everything.
+    def is_given_up(self, generation: int) -> bool:
+        """Return whether the watch of a generation was given up."""
+        return generation != self._watch.generation
+
+    def verified(self, revision: int, is_empty: bool, now: float) -> bool:
+        """Record the answer to a verification; return whether the watch in flight has lost an answer.
 
-        A follower that has content and needs no read of its own does not retry.
+        :param is_empty: whether the answer shows no change.
         """
+        self._answered(self._watch.verification_answered(revision))
+        is_lost = not is_empty and self._watch.was_verified
+        if is_lost:
+            self._watch.give_up()
+        return is_lost
+
+    def verification_failed(self, reason: StoreFailure, now: float) -> None:
+        """Record that a verification failed; the next call reads everything."""
+        self._watch.verification_failed()
+        self._call_failed(reason, now)
+
+    def failed(self, reason: StoreFailure, was_watch: bool, now: float) -> None:
+        """Record that a read or the watch failed; the next call reads everything."""
         if was_watch:
-            self._is_watching = False
+            self._watch.end()
         else:
             self._is_reading = False
+        self._call_failed(reason, now)
+
+    def _call_failed(self, reason: StoreFailure, now: float) -> None:
+        """Read everything after a failure.
+
+        A follower that has content and needs no read of its own does not retry.  The watch in flight is given
+        up, since whatever the call was lost by may have lost its answer too.
+        """
+        self._watch.give_up()
         if not self._is_read_needed and self._has_content:
             self._read_at = NEVER
             return
@@ -282,11 +326,13 @@
         """Read everything as soon as possible: the content held may be stale.
 
         A watch in flight shows nothing about earlier changes, so a reader sends no confirmations until the
-        read is answered.  A follower skips the read if peers send it changes first.
+        read is answered, and then begins a new watch.  A follower skips the read if peers send it changes
+        first.
         """
         self._read_at = min(self._read_at, now)
         if self.is_watcher:
             self._is_valid = False
+            self._watch.give_up()
 
     def process_stalled(self, now: float) -> None:
         """Read everything as soon as possible after a stall; answers to earlier reads confirm nothing."""
--- a/sloepond/platform/store.py
+++ b/sloepond/platform/store.py
@@ -11,11 +11,11 @@
 from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
 from sloepond.core.forwarding.events import (
     BackendsChanged,
+    ChangesEvent,
     DepartedBackend,
     RoutesChanged,
     RoutesRead,
     StoreCallFailed,
-    StoreEvent,
     StoreFailure,
     Subject,
     UnreadableBackend,
@@ -77,7 +77,7 @@
         except _DECODE_ERRORS as error:
             return ReadPage(StoreCallFailed(subject, StoreFailure.MALFORMED, False, _error_text(error)))
 
-    def decode_watch(self, command: WatchSubject, body: bytes) -> StoreEvent:
+    def decode_watch(self, command: WatchSubject, body: bytes) -> ChangesEvent:
         """Return the event for the response to a watch."""
         try:
             answer = _WATCH.decode(body)
--- a/sloepond/runtime/forwarding/drivers.py
+++ b/sloepond/runtime/forwarding/drivers.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from sloepond.core.forwarding.commands import ReadSubject, WatchSubject
-from sloepond.core.forwarding.events import StoreEvent, Subject
+from sloepond.core.forwarding.events import ChangesEvent, StoreEvent, Subject
 from sloepond.core.forwarding.packets import Segment
 from sloepond.core.forwarding.state.backend import ForwardingBackend
 from sloepond.runtime.forwarding.process import ForwardingSettings
@@ -76,7 +76,7 @@
         """Return the content of a page."""
 
     @abc.abstractmethod
-    def decode_watch(self, command: WatchSubject, body: bytes) -> StoreEvent:
+    def decode_watch(self, command: WatchSubject, body: bytes) -> ChangesEvent:
         """Return the changes in the response to a watch."""
 
 
--- a/sloepond/runtime/forwarding/service.py
+++ b/sloepond/runtime/forwarding/service.py
@@ -16,11 +16,12 @@
     FetchRoutes,
     FetchSnapshot,
     LogKind,
-    ProbeStore,
     ReadSubject,
     ReprocessPackets,
     ResetFlows,
     SendToPeer,
+    StoreCommand,
+    VerifySubject,
     WatchSubject,
     WriteLog,
 )
@@ -130,7 +131,7 @@
                 self._peers.send(command)
             elif isinstance(command, ReprocessPackets | ResetFlows):
                 self._send_to_flows(command)
-            elif isinstance(command, ReadSubject | WatchSubject | ProbeStore):
+            elif isinstance(command, StoreCommand):
                 self._loop.start(self._call_store(command))
             elif isinstance(command, CheckBackend):
                 self._check_backend(command)
@@ -165,7 +166,7 @@
         self._node.counters.check_connections_failed += 1
         self._logs.failure(LogKind.CHECK_FAILED, "process", error)
 
-    async def _call_store(self, command: ReadSubject | WatchSubject | ProbeStore) -> None:
+    async def _call_store(self, command: StoreCommand) -> None:
         counters = self._node.counters
         if isinstance(command, ReadSubject):
             counters.store_reads += 1
@@ -173,6 +174,9 @@
         elif isinstance(command, WatchSubject):
             counters.store_watches += 1
             self.dispatch(await self._store.watch(command))
+        elif isinstance(command, VerifySubject):
+            counters.store_verifications += 1
+            self.dispatch(await self._store.verify(command))
         else:
             counters.store_probes += 1
             self.dispatch(await self._store.probe())
--- a/sloepond/runtime/forwarding/store_client.py
+++ b/sloepond/runtime/forwarding/store_client.py
@@ -1,4 +1,4 @@
-"""Calls to the platform's store: reads, watches and probes; every failure becomes an event.
+"""Calls to the platform's store: reads, watches, verifications and probes; every failure becomes an event.
 
 Owns the connections to the store.  Relies on `StoreCodec` for formats, on `store_pages` for paged
 reads, and on the node, which decides when to call.  The daemon for sloepond's own platform has
@@ -10,9 +10,12 @@
 import random
 from collections.abc import Callable
 
-from sloepond.core.forwarding.commands import LogKind, ReadSubject, WatchSubject
+import msgspec
+
+from sloepond.core.forwarding.commands import LogKind, ReadSubject, VerifySubject, WatchSubject
 from sloepond.core.forwarding.events import (
     BackendsRead,
+    ChangesEvent,
     StoreCallFailed,
     StoreEvent,
     StoreFailure,
@@ -93,10 +96,21 @@
         self._log_undecodable(page)
         return StoreProbed(None, page.revision if isinstance(page, BackendsRead) else 0)
 
-    async def watch(self, command: WatchSubject) -> StoreEvent:
+    async def watch(self, command: WatchSubject) -> ChangesEvent:
         """Wait for changes of a subject."""
-        target = self._codec.watch_target(command)
-        answer = await self._get(target, SILENCE_TIMEOUT_S, command.timeout_s + WATCH_MARGIN_S)
+        event = await self._changes(command, command.timeout_s + WATCH_MARGIN_S)
+        return msgspec.structs.replace(event, generation=command.generation)
+
+    async def verify(self, command: VerifySubject) -> ChangesEvent:
+        """Ask for the changes of a subject since a revision: a watch that waits for none."""
+        event = await self._changes(WatchSubject(command.subject, command.after, 0.0), SILENCE_TIMEOUT_S)
+        if isinstance(event, StoreCallFailed):
+            return msgspec.structs.replace(event, was_watch=False, was_verification=True)
+        return msgspec.structs.replace(event, is_verification=True)
+
+    async def _changes(self, command: WatchSubject, first_byte_timeout_s: float) -> ChangesEvent:
+        """Return the changes since a revision, or why there is no answer."""
+        answer = await self._get(self._codec.watch_target(command), SILENCE_TIMEOUT_S, first_byte_timeout_s)
         failure = store_failure(answer)
         if isinstance(answer, HttpFailure) or failure is not None:
             return StoreCallFailed(command.subject, failure or StoreFailure.REFUSED, True)
