A balancer asks its peers before it forwards flows to an entry whose service no route names

Cause: a balancer that starts after another program has overwritten a back end's entry knows only that entry, and forwarded the packets of the back end's open flows to the address in it.

Change: a token that is held by a back end whose service is not named is looked up at peers once, as an unknown one is; a peer answers only for a back end whose service was named there. The back end that a peer names takes the place of the entry under its id, without new flows; the entry is set aside.

--- a/features/forwarding/foreign_entries.feature
+++ b/features/forwarding/foreign_entries.feature
@@ -35,6 +35,19 @@
       | its address     |
       | another address |
 
+  Scenario Outline: A balancer that starts after such an entry was written asks its peers where open flows go
+    Guards against packets of open flows that go to the address in an entry under a back end's own key.
+    Given a forwarding node that starts with an entry of another program at a back end's own key
+    When forwarding receives a packet of an open flow of that back end
+    And <what its peers do>
+    Then forwarding forwards the packet to <address>
+
+    Examples:
+      | what its peers do                       | address                     |
+      | a peer replies with that back end       | the address of the back end |
+      | a peer sends that back end in a change  | the address of the back end |
+      | no peer replies                         | the address in the entry    |
+
   Scenario: An invalid key that looks like an incarnation of a back end does not affect it
     Guards against an entry under the id and the start time of a back end that ends its new flows.
     Given a forwarding node with one back end of a service
--- a/features/steps/forwarding_foreign_steps.py
+++ b/features/steps/forwarding_foreign_steps.py
@@ -10,17 +10,26 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from sloepond.core.forwarding.commands import ReprocessPackets, SendToPeer
 from sloepond.core.forwarding.events import (
     BackendsRead,
     DepartedBackend,
     PeerMessageReceived,
     RoutesRead,
     TimerFired,
+    UnknownTokenReceived,
     UnreadableBackend,
 )
-from sloepond.core.forwarding.peers.messages import Changes, ChangesReply, KnownBackend
+from sloepond.core.forwarding.peers.buffered_packets import BUFFER_TIMEOUT_S
+from sloepond.core.forwarding.peers.messages import (
+    Changes,
+    ChangesReply,
+    KnownBackend,
+    TokenReply,
+    TokenRequest,
+)
 from sloepond.core.forwarding.placement.admission import MINIMUM_SHARE_PERIOD_S
-from sloepond.core.forwarding.state.backend_records import Endpoint
+from sloepond.core.forwarding.state.backend_records import BackendState, Endpoint
 from sloepond.core.forwarding.state.backends import BackendDirectory
 from sloepond.core.forwarding.state.routes import Route, RouteConfiguration, Share
 
@@ -32,6 +41,8 @@
 """An address of another program."""
 AGENT = 5 << 16 | 444
 """Key of a route to the foreign service."""
+OPEN_SEGMENT = segment(EXPORT, 1, token=only().number, length=5)
+"""Packet of an open flow of the only back end of its service."""
 NAMED = frozenset({"booking", "roster"})
 PROPERTY = settings(derandomize=True, deadline=None, database=None, max_examples=400)
 
@@ -128,6 +139,51 @@
     changed(context, only(30), revision=30)
 
 
+@given("a forwarding node that starts with an entry of another program at a back end's own key")
+def starts_overwritten(context):
+    entry = only(20, born=0)
+    entry = msgspec.structs.replace(entry, service=FOREIGN_SERVICE, host=ELSEWHERE.host, port=ELSEWHERE.port)
+    context.harness = Harness().configure(ROUTES, (record(1), entry), revision=25)
+    hear_readers(context.harness)
+
+
+@when("forwarding receives a packet of an open flow of that back end")
+def receives_open(context):
+    harness = context.harness
+    decision = harness.node.decide(OPEN_SEGMENT, harness.now)
+    assert decision.lookup and decision.backend is None, decision
+    harness.handle(UnknownTokenReceived(only().number, b"packet"))
+    assert [each.message for each in harness.all(SendToPeer) if isinstance(each.message, TokenRequest)]
+
+
+@when("a peer replies with that back end")
+def peer_replies(context):
+    reply = TokenReply(only(20, state=BackendState.DEPARTED), 0.5)
+    context.harness.handle(PeerMessageReceived(PEER, reply))
+
+
+@when("a peer sends that back end in a change")
+def peer_sends(context):
+    known = KnownBackend(only(20, state=BackendState.DEPARTED), 0.5)
+    changes = Changes(ROUTES.version, None, 10, 25, 25, (known,))
+    context.harness.handle(PeerMessageReceived(PEER, ChangesReply(changes)))
+    context.harness.run_to(context.harness.now + BUFFER_TIMEOUT_S, TimerFired())
+
+
+@when("no peer replies")
+def no_reply(context):
+    context.harness.run_to(context.harness.now + BUFFER_TIMEOUT_S, TimerFired())
+
+
+@then("forwarding forwards the packet to {address}")
+def forwards_packet(context, address):
+    harness = context.harness
+    assert ReprocessPackets((b"packet",)) in harness.all(ReprocessPackets)
+    decision = harness.node.decide(OPEN_SEGMENT, harness.now)
+    expected = ELSEWHERE if address == "the address in the entry" else (only().host, only().port)
+    assert decision.backend is not None and decision.backend.endpoint == expected, decision
+
+
 @when("an entry under the id and start time of that back end is unreadable, and then removed")
 def looks_like_incarnation(context):
     name = f"{identity()}#{FIRST_BORN}"
@@ -168,6 +224,9 @@
 @then("forwarding and a node that starts now forward its open flows")
 def both_forward(context):
     fresh = Harness().configure(context.routes, (record(1), only()), revision=40)
+    fresh.handle(UnknownTokenReceived(only().number, b"packet"))
+    fresh.run_to(fresh.now + BUFFER_TIMEOUT_S, TimerFired())
+    assert ReprocessPackets((b"packet",)) in fresh.all(ReprocessPackets)
     for harness in (context.harness, fresh):
         kept = harness.node.decide(segment(EXPORT, 1, token=only().number, length=5), harness.now)
         assert kept.backend is not None and kept.backend.name == only().name, kept
--- a/sloepond/core/forwarding/peers/buffered_packets.py
+++ b/sloepond/core/forwarding/peers/buffered_packets.py
@@ -25,7 +25,7 @@
     """Packets buffered for one token.
 
     :ivar requested_at: when the lookup was sent to peers.
-    :ivar is_expired: whether the packets were dropped; the token is kept for `UNKNOWN_TOKEN_RETRY_S`.
+    :ivar is_expired: whether the packets were removed; the token is kept for `UNKNOWN_TOKEN_RETRY_S`.
     """
 
     requested_at: float
@@ -56,14 +56,14 @@
         buffered = self._buffers.pop(token, None)
         return buffered.datagrams if buffered is not None else []
 
-    def expire(self, now: float) -> int:
-        """Drop packets buffered for `BUFFER_TIMEOUT_S`; return how many."""
-        dropped = 0
+    def expire(self, now: float) -> dict[int, list[bytes]]:
+        """Return and remove the packets buffered for `BUFFER_TIMEOUT_S`, by token."""
+        expired: dict[int, list[bytes]] = {}
         for token, buffered in list(self._buffers.items()):
             if now - buffered.requested_at >= UNKNOWN_TOKEN_RETRY_S:
                 del self._buffers[token]
             if not buffered.is_expired and now - buffered.requested_at >= BUFFER_TIMEOUT_S:
                 buffered.is_expired = True
-                dropped += len(buffered.datagrams)
+                expired[token] = buffered.datagrams
                 buffered.datagrams = []
-        return dropped
+        return expired
--- a/sloepond/core/forwarding/peers/token_lookup.py
+++ b/sloepond/core/forwarding/peers/token_lookup.py
@@ -1,5 +1,8 @@
 """Looks up the back end of an unknown token at peers.
 
+A token is looked up too if it is held by a back end whose service no configuration has named: peers may know
+another back end under its id.  If none does, its packets are forwarded to it.
+
 Owns: the packets that are buffered meanwhile.  Relies on: `PeerTable` to choose the peers, the back end
 directory to apply their replies.
 """
@@ -28,10 +31,17 @@
         return self._expire_at
 
     def on_timer(self, now: float) -> None:
-        """Drop packets whose token was looked up without a reply in time."""
-        if now >= self._expire_at:
-            self._local.counters.held_packets_dropped += self._buffered.expire(now)
-            self._expire_at = NEVER
+        """Drop or forward packets whose token was looked up without a reply in time."""
+        if now < self._expire_at:
+            return
+        self._expire_at = NEVER
+        for token, datagrams in self._buffered.expire(now).items():
+            holder = self._local.backends.by_token(token)
+            if holder is None:
+                self._local.counters.held_packets_dropped += len(datagrams)
+                continue
+            holder.is_looked_up = True
+            self._outbox.add(ReprocessPackets(tuple(datagrams)))
 
     def unknown_token(self, event: UnknownTokenReceived, now: float) -> None:
         """Buffer a packet and look up its token at peers."""
@@ -44,9 +54,9 @@
         self._outbox.log(LogKind.TOKEN_LOOKED_UP, f"{event.token:08x}", f"asked={len(peers)}")
 
     def answer(self, ip: str, token: int, now: float) -> None:
-        """Reply to a peer if the back end of a token is known locally."""
+        """Reply to a peer if the back end of a token is known locally, and its service named."""
         backend = self._local.backends.by_token(token)
-        if backend is not None:
+        if backend is not None and backend.is_named:
             known = backend.to_known_backend(now)
             self._outbox.send([ip], TokenReply(known.record, known.departed_s, known.announced_leaving))
 
@@ -57,8 +67,9 @@
         if backends.add_known(known, self._local.watchers[Subject.BACKENDS].revision, now):
             self._local.counters.tokens_found_by_peers += 1
         backend = backends.by_name(message.record.name)
-        if backend is None or backends.by_token(backend.token) is None:
+        if backend is None or backends.by_token(backend.token) is not backend:
             return
+        backend.is_looked_up = True
         datagrams = self._buffered.release(backend.token)
         detail = f"state={backend.state.name.lower()} released={len(datagrams)}"
         self._outbox.log(LogKind.TOKEN_FOUND, backend.name, detail)
--- a/sloepond/core/forwarding/placement/forwarder.py
+++ b/sloepond/core/forwarding/placement/forwarder.py
@@ -35,7 +35,8 @@
 
         1. `Openings.decide` handles opening packets.
         2. No back end has the packet's token: a packet without a token is refused; otherwise peers are asked
-           for the token.
+           for the token.  They are asked once too if no configuration has named the service of the one that
+           has it: the entry may be one of another program under the id of a back end.
         3. The back end is unreachable: the flow is reset, so that its caller opens another one.
         4. The packet is forwarded.  If the back end may be gone, it is checked as well.
 
@@ -46,6 +47,8 @@
         backend = self._backends.by_token(segment.token)
         if backend is None:
             return _NO_TOKEN if segment.token == NO_TOKEN else _UNKNOWN_TOKEN
+        if not backend.is_named and self._backends.must_be_looked_up(backend):
+            return _UNKNOWN_TOKEN
         if backend.is_unreachable(now):
             return _UNREACHABLE
         is_repeated = self.observer.observe_packet(segment, backend, now)
--- a/sloepond/core/forwarding/state/backend.py
+++ b/sloepond/core/forwarding/state/backend.py
@@ -51,6 +51,7 @@
     :ivar departed_at: time at which it was found missing in the list.
     :ivar announced_leaving: whether it has announced that it is leaving.
     :ivar is_named: whether a configuration has named its service since it is known here.
+    :ivar is_looked_up: whether peers were asked if its token is that of another back end.
     :ivar flows: flows opened through this balancer and not closed.
     :ivar in_flight: requests forwarded by this balancer and not yet answered.
     :ivar latency: estimate of its response time.
@@ -66,7 +67,8 @@
 
     __slots__ = (
         "name", "number", "service", "endpoint", "hall", "slots", "state", "token", "prefix",
-        "warm_at", "departed_at", "announced_leaving", "is_named", "revision", "flows", "in_flight",
+        "warm_at", "departed_at", "announced_leaving", "is_named", "is_looked_up", "revision", "flows",
+        "in_flight",
         "avoided_until", "token_bytes", "decision", "decision_with_check", "checked_at",
         "suspected_until", "unreachable_until", "latency",
         "ejected_until", "probation_until",
@@ -95,6 +97,7 @@
         self.departed_at = now
         self.announced_leaving = False
         self.is_named = False
+        self.is_looked_up = False
         self.update(record, now)
 
     def update(self, record: BackendRecord, now: float) -> None:
--- a/sloepond/core/forwarding/state/backends.py
+++ b/sloepond/core/forwarding/state/backends.py
@@ -118,6 +118,13 @@
         """Return the back end that holds a token."""
         return self._tokens.holder(token)
 
+    def must_be_looked_up(self, backend: ForwardingBackend) -> bool:
+        """Return whether peers may know another back end with the token of one whose service is not named.
+
+        Before any service is named nothing shows that it is not that of a back end.
+        """
+        return bool(self._named_services) and not backend.is_looked_up
+
     def by_name(self, name: str) -> ForwardingBackend | None:
         """Return the back end of a name."""
         return self._by_name.get(name)
@@ -181,6 +188,22 @@
         self._set_aside.add(record, now)
         return self.mark_unreadable(id_of_incarnation(record.name), record.revision, now)
 
+    def _displace_unnamed(self, record: BackendRecord, now: float) -> bool:
+        """Set aside a later record with an unnamed service under the id of a back end that a peer knows.
+
+        :returns: whether there was one, so that the entry no longer describes that back end.
+        """
+        former = self._by_name.get(self._incarnation_by_id.get(id_of_incarnation(record.name), ""))
+        if former is None or former.is_named or former.service == record.service:
+            return False
+        if record.service not in self._named_services or record.revision > former.revision:
+            return False
+        if former.state is not BackendState.DEPARTED:
+            self._set_aside.add(former.record(now), now)
+        self._checksum.remove(former.name)
+        self._remove(former)
+        return True
+
     def _replace_former_incarnation(self, record: BackendRecord) -> bool:
         """Remove the incarnation before that of a record, if any; return whether the record may be applied.
 
@@ -238,9 +261,10 @@
         has_left = is_listed and self._has_left(record, complete_to)
         if self._names_no_service_at_known_id(record):
             return is_listed and not has_left and self._set_record_aside(record, now)
-        if not self._replace_former_incarnation(record):
+        is_overwritten = self._displace_unnamed(record, now)
+        if not is_overwritten and not self._replace_former_incarnation(record):
             return False
-        if has_left:
+        if has_left or is_overwritten:
             is_listed = False
             record = msgspec.structs.replace(record, state=BackendState.DEPARTED)
             departed_s = ASSUMED_DEPARTURE_AGE_S
