Checks have a control also before the routes are known

Cause: since only back ends whose service is named serve as the control of a check, and none is before the routes are known, so a balancer without a link of its own could take a back end for gone.

Change: any ready back end is a control until a service is named.

--- a/features/forwarding/foreign_entries.feature
+++ b/features/forwarding/foreign_entries.feature
@@ -71,6 +71,10 @@
     When a configuration names that service no longer
     Then forwarding and a node that starts now forward its open flows
 
+  Scenario: An entry of another program is no control of a check once the routes are known
+    Guards against a back end that is gone and stays listed as usable, as the control is gone too.
+    Then entries: any back end is a control before services are named, and only one of a named service afterwards
+
   Scenario: Entries of other programs change nothing for back ends, whatever the order
     Guards against entries of unnamed services that take tokens or addresses in any order of events.
     Then entries property: back ends are the same with and without entries of unnamed services
--- a/features/steps/forwarding_foreign_steps.py
+++ b/features/steps/forwarding_foreign_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import msgspec
 from behave import given, then, when
 from forwarding_entries_steps import FIRST_BORN, changed, identity, only
@@ -20,6 +22,7 @@
     UnknownTokenReceived,
     UnreadableBackend,
 )
+from sloepond.core.forwarding.health.reachability import Reachability
 from sloepond.core.forwarding.peers.buffered_packets import BUFFER_TIMEOUT_S
 from sloepond.core.forwarding.peers.messages import (
     Changes,
@@ -233,6 +236,23 @@
         assert not kept.reset
 
 
+@then(
+    "entries: any back end is a control before services are named, and only one of a named service afterwards"
+)
+def control_of_check(context):
+    directory = BackendDirectory()
+    suspect, other, entry = record(1), record(2), foreign("")
+    directory.apply_list((suspect, entry), 10, 1.0)
+    for service_is_named, expected in ((False, ELSEWHERE), (True, None)):
+        if service_is_named:
+            directory.services_named(NAMED)
+        reachability = Reachability(directory, random.Random(1))
+        assert reachability.control(directory.by_name(suspect.name), 2.0) == expected
+    directory.apply_record(msgspec.structs.replace(other, revision=20), 3.0)
+    found = Reachability(directory, random.Random(1)).control(directory.by_name(suspect.name), 4.0)
+    assert found == (other.host, other.port), found
+
+
 @st.composite
 def histories(draw):
     """Return records of back ends, records of other programs, and the order in which all arrive."""
--- a/sloepond/core/forwarding/health/reachability.py
+++ b/sloepond/core/forwarding/health/reachability.py
@@ -62,14 +62,14 @@
     def control(self, suspect: ForwardingBackend, now: float) -> Endpoint | None:
         """Choose the control, a second back end to contact: it reveals a fault of this balancer's own link.
 
-        :returns: the address of a back end that is ready and not suspected and whose service is named, in
-            the suspect's hall if possible; None if there is none.
+        :returns: the address of a back end that is ready and not suspected, and whose service is named once
+            any is known, in the suspect's hall if possible; None if there is none.
         """
         usable = [
             backend
             for backend in self._backends
             if backend.state is BackendState.READY
-            and backend.is_named
+            and (backend.is_named or not self._backends.are_services_known)
             and backend.endpoint != suspect.endpoint
             and backend.avoided_until <= now
             and not backend.is_unreachable(now)
--- a/sloepond/core/forwarding/state/backends.py
+++ b/sloepond/core/forwarding/state/backends.py
@@ -71,6 +71,11 @@
         """Anti-entropy checksum of the listed back ends and their revisions."""
         return self._checksum.value
 
+    @property
+    def are_services_known(self) -> bool:
+        """Whether routes have named any service."""
+        return bool(self._named_services)
+
     @property
     def has_backends(self) -> bool:
         """Whether a whole list was applied and any back end is known."""
@@ -123,7 +128,7 @@
 
         Before any service is named nothing shows that it is not that of a back end.
         """
-        return bool(self._named_services) and not backend.is_looked_up
+        return self.are_services_known and not backend.is_looked_up
 
     def by_name(self, name: str) -> ForwardingBackend | None:
         """Return the back end of a name."""
