Form: what a record means for the back end under its id in one place; intervals of watches beside the watch

Incarnations.judge gives one verdict (apply, replace, ignore, set aside, displace) in place of four methods of the directory that each looked at the same two records. The intervals between watches stand with the watch in flight.

--- a/sloepond/core/forwarding/state/backends.py
+++ b/sloepond/core/forwarding/state/backends.py
@@ -6,9 +6,9 @@
 others, until a configuration names its service.
 
 Owns: all known back ends, also those that are leaving or have departed, and which of them accept new flows.
-Relies on: `TokenHolders` and `EndpointHolders` to resolve conflicts over tokens and addresses, `ChangeIndex`
-for the changes to send to peers, `ListChecksum` to compare lists with peers, `PlaceRules` for the halls that
-may receive flows, `RouteTable` to report the services that routes name.
+Relies on: `TokenHolders`, `EndpointHolders` and `Incarnations` to resolve conflicts over tokens, addresses
+and ids, `ChangeIndex` for the changes to send to peers, `ListChecksum` to compare lists with peers,
+`PlaceRules` for the halls that may receive flows, `RouteTable` to report the services that routes name.
 """
 
 from __future__ import annotations
@@ -23,8 +23,8 @@
 from sloepond.core.forwarding.state.backend_records import BackendRecord, BackendState, id_of_incarnation
 from sloepond.core.forwarding.state.change_index import ChangeIndex
 from sloepond.core.forwarding.state.holders import EndpointHolders, TokenHolders
+from sloepond.core.forwarding.state.incarnations import Incarnations, Verdict
 from sloepond.core.forwarding.state.list_checksum import ListChecksum
-from sloepond.core.forwarding.state.set_aside import SetAsideRecords
 
 DEPARTED_RETENTION_S = 90.0
 """Seconds for which a departed back end keeps its token, since it may still serve its flows after it has left
@@ -48,12 +48,10 @@
         self.has_full_list = False
         self._places = places
         self._by_name: dict[str, ForwardingBackend] = {}
-        self._incarnation_by_id: dict[str, str] = {}
+        self._incarnations = Incarnations()
         self._tokens = TokenHolders()
         self._endpoints = EndpointHolders()
         self._by_service: dict[str, dict[str, ForwardingBackend]] = {}
-        self._named_services: frozenset[str] = frozenset()
-        self._set_aside = SetAsideRecords()
         self._candidates: dict[str, list[ForwardingBackend]] = {}
         self._evacuated: frozenset[str] = frozenset()
         self.cold_until = 0.0
@@ -74,7 +72,7 @@
     @property
     def are_services_known(self) -> bool:
         """Whether routes have named any service."""
-        return bool(self._named_services)
+        return bool(self._incarnations.named_services)
 
     @property
     def has_backends(self) -> bool:
@@ -97,11 +95,11 @@
 
         A back end whose service was named once stays one: its flows stay open while other routes change.
         """
-        added = services - self._named_services
-        self._named_services = services
+        added = services - self._incarnations.named_services
+        self._incarnations.named_services = services
         for backend in [each for service in sorted(added) for each in self._of_service(service)]:
             self._accept(backend)
-        for aside in self._set_aside.take(added):
+        for aside in self._incarnations.take_named(added):
             self.apply_record(aside.record, aside.received_at)
         self._candidates.clear()
 
@@ -161,10 +159,13 @@
         """
         if record.name not in self._by_name and self._has_left(record, complete_to):
             return False
-        if self._names_no_service_at_known_id(record):
-            return self._set_record_aside(record, now)
-        if not self._replace_former_incarnation(record):
+        verdict = self._incarnations.judge(record)
+        if verdict is Verdict.SET_ASIDE:
+            return self._set_aside(record, now)
+        if verdict in (Verdict.IGNORE, Verdict.DISPLACE):
             return False
+        if verdict is Verdict.REPLACE:
+            self._remove_held(record)
         backend = self._by_name.get(record.name)
         if backend is None or record.revision > backend.revision:
             self._checksum.add(record.name, record.number, record.revision)
@@ -178,54 +179,25 @@
         self._record_change(record.name, record.service, record.revision)
         return True
 
-    def _names_no_service_at_known_id(self, record: BackendRecord) -> bool:
-        """Return whether a record is not that of the back end under its id, and names no service to use."""
-        known = self._by_name.get(self._incarnation_by_id.get(id_of_incarnation(record.name), ""))
-        if known is None or not known.is_named:
-            return False
-        return record.service != known.service and record.service not in self._named_services
-
-    def _set_record_aside(self, record: BackendRecord, now: float) -> bool:
-        """Keep a record for when its service is named; the entry no longer describes the known back end.
-
-        :returns: whether anything changed.
-        """
-        self._set_aside.add(record, now)
+    def _set_aside(self, record: BackendRecord, now: float) -> bool:
+        """Set a record aside; return whether anything changed for the back end held under its id."""
+        self._incarnations.set_aside(record, now)
         return self.mark_unreadable(id_of_incarnation(record.name), record.revision, now)
 
-    def _displace_unnamed(self, record: BackendRecord, now: float) -> bool:
-        """Set aside a later record with an unnamed service under the id of a back end that a peer knows.
-
-        :returns: whether there was one, so that the entry no longer describes that back end.
-        """
-        former = self._by_name.get(self._incarnation_by_id.get(id_of_incarnation(record.name), ""))
-        if former is None or former.is_named or former.service == record.service:
-            return False
-        if record.service not in self._named_services or record.revision > former.revision:
-            return False
-        if former.state is not BackendState.DEPARTED:
-            self._set_aside.add(former.record(now), now)
-        self._checksum.remove(former.name)
-        self._remove(former)
-        return True
-
-    def _replace_former_incarnation(self, record: BackendRecord) -> bool:
-        """Remove the incarnation before that of a record, if any; return whether the record may be applied.
-
-        A back end that starts again under its id has lost its flows: its token now identifies the new
-        incarnation, which resets the callers of flows of the former one at their next packet.  Records of
-        both may arrive in any order; the revision of the entry shows which incarnation is the later one.
-        """
-        former = self._by_name.get(self._incarnation_by_id.get(id_of_incarnation(record.name), ""))
-        if former is None or not former.is_other_incarnation(record):
-            return True
-        is_later = record.revision > former.revision
-        ended_former = record.revision == former.revision and former.state is BackendState.DEPARTED
-        if not is_later and not ended_former:
-            return False
-        self._checksum.remove(former.name)
-        self._remove(former)
-        return True
+    def _remove_held(self, record: BackendRecord) -> None:
+        """Remove the back end held under the id of a record."""
+        held = self._incarnations.held(id_of_incarnation(record.name))
+        assert held is not None
+        self._checksum.remove(held.name)
+        self._remove(held)
+
+    def _displace_held(self, record: BackendRecord, now: float) -> None:
+        """Set the entry held under the id of a record aside, if it is still listed, and remove it."""
+        held = self._incarnations.held(id_of_incarnation(record.name))
+        assert held is not None
+        if held.state is not BackendState.DEPARTED:
+            self._incarnations.set_aside(held.record(now), now)
+        self._remove_held(record)
 
     def apply_known(self, known: KnownBackend, complete_to: int, now: float) -> bool:
         """Apply a back end from a peer, with the state it has there.
@@ -264,12 +236,16 @@
             return False
         is_listed = record.state is not BackendState.DEPARTED
         has_left = is_listed and self._has_left(record, complete_to)
-        if self._names_no_service_at_known_id(record):
-            return is_listed and not has_left and self._set_record_aside(record, now)
-        is_overwritten = self._displace_unnamed(record, now)
-        if not is_overwritten and not self._replace_former_incarnation(record):
+        verdict = self._incarnations.judge(record)
+        if verdict is Verdict.SET_ASIDE:
+            return is_listed and not has_left and self._set_aside(record, now)
+        if verdict is Verdict.IGNORE:
             return False
-        if has_left or is_overwritten:
+        if verdict is Verdict.REPLACE:
+            self._remove_held(record)
+        if verdict is Verdict.DISPLACE:
+            self._displace_held(record, now)
+        if has_left or verdict is Verdict.DISPLACE:
             is_listed = False
             record = msgspec.structs.replace(record, state=BackendState.DEPARTED)
             departed_s = ASSUMED_DEPARTURE_AGE_S
@@ -292,12 +268,12 @@
 
     def mark_removed(self, identity: str, revision: int, now: float) -> bool:
         """Record that the entry of a back end, named by its id, was removed from the list at a revision."""
-        self._set_aside.remove(identity)
+        self._incarnations.forget_set_aside(identity)
         return self._mark_latest_departed(identity, revision, now)
 
     def _mark_latest_departed(self, identity: str, revision: int, now: float) -> bool:
-        name = self._incarnation_by_id.get(identity)
-        return name is not None and self.mark_departed(name, revision, now)
+        held = self._incarnations.held(identity)
+        return held is not None and self.mark_departed(held.name, revision, now)
 
     def mark_departed(self, name: str, revision: int, now: float) -> bool:
         """Record that an incarnation of a back end is no longer listed as of a revision."""
@@ -324,7 +300,7 @@
         :returns: number of back ends that changed.
         """
         names = {record.name for record in records}
-        self._set_aside.keep_listed(names)
+        self._incarnations.keep_listed(names)
         changed = sum(self.apply_record(record, now, complete_to) for record in records)
         missing = [name for name in self._by_name if name not in names]
         return changed + sum(self.mark_departed(name, revision, now) for name in missing)
@@ -359,12 +335,12 @@
 
     def _add(self, backend: ForwardingBackend) -> None:
         self._by_name[backend.name] = backend
-        self._incarnation_by_id[id_of_incarnation(backend.name)] = backend.name
+        self._incarnations.add(backend)
         self.cold_until = max(self.cold_until, backend.warm_at)
         self._by_service.setdefault(backend.service, {})[backend.name] = backend
         if self._tokens.add(backend):
             self._candidates.clear()
-        if backend.service in self._named_services:
+        if backend.service in self._incarnations.named_services:
             self._accept(backend)
 
     def _accept(self, backend: ForwardingBackend) -> None:
@@ -377,7 +353,7 @@
 
     def _remove(self, backend: ForwardingBackend) -> None:
         del self._by_name[backend.name]
-        self._incarnation_by_id.pop(id_of_incarnation(backend.name), None)
+        self._incarnations.remove(backend)
         self._endpoints.remove(backend)
         members = self._by_service[backend.service]
         del members[backend.name]
--- a/sloepond/core/forwarding/store/watch_in_flight.py
+++ b/sloepond/core/forwarding/store/watch_in_flight.py
@@ -1,4 +1,4 @@
-"""The watch of one subject that is in flight: when it must be verified, and when it is given up.
+"""The watch of one subject that is in flight: when it must be verified, and when the next one may begin.
 
 The answer to a watch may be lost without an error, on a connection that stays open but silent.  The store has
 one counter of revisions for all of its keys, so a revision above the known one shows that something has
@@ -13,7 +13,16 @@
 from __future__ import annotations
 
 from sloepond.core.deadlines import NEVER
-
+from sloepond.core.forwarding.events import Subject
+
+MINIMUM_WATCH_INTERVAL_S = {Subject.ROUTES: 0.2, Subject.BACKENDS: 1.0}
+"""Minimum seconds from the start of one watch to the start of the next, so that changes in quick succession
+are answered together: each call has a cost."""
+START_PHASE_DURATION_S = 3.0
+"""Seconds after a watcher begins in which watches follow each other at a shorter interval: after a restart
+of all processes, entries that expired while the store was unreachable are written again in this time."""
+START_WATCH_INTERVAL_S = 0.2
+"""Minimum seconds from the start of one watch to the next during `START_PHASE_DURATION_S`."""
 ANSWER_TIMEOUT_S = 1.0
 """Seconds that a watch has to bring a change that the store is known to have made.  With the 0.9 s between
 probes a lost answer is found after two thirds of the 3 s within which a change must be in force, so that
@@ -27,7 +36,9 @@
     :ivar generation: number of watches that were given up; the answers to these are no longer expected.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, subject: Subject) -> None:
+        self._interval_s = MINIMUM_WATCH_INTERVAL_S[subject]
+        self._start_phase_until = -NEVER
         self.is_open = False
         self.generation = 0
         self._started_at = -NEVER
@@ -42,8 +53,15 @@
         self.is_open = True
         self._started_at = now
 
-    def next_at(self, interval_s: float, now: float) -> float:
-        """Return when the next watch may begin if watches begin at least `interval_s` apart."""
+    def start_phase(self, now: float) -> None:
+        """Let watches follow each other at a shorter interval for `START_PHASE_DURATION_S`."""
+        self._start_phase_until = now + START_PHASE_DURATION_S
+
+    def next_at(self, now: float) -> float:
+        """Return when the next watch may begin after an answer."""
+        interval_s = self._interval_s
+        if now < self._start_phase_until:
+            interval_s = min(interval_s, START_WATCH_INTERVAL_S)
         return max(now, self._started_at + interval_s)
 
     def end(self) -> None:
--- a/sloepond/core/forwarding/store/watcher.py
+++ b/sloepond/core/forwarding/store/watcher.py
@@ -23,14 +23,6 @@
 WATCH_TIMEOUT_S = 25.0
 """Seconds for which the store may hold one watch open.  A lost answer is detected after this time at the
 latest, usually sooner by a peer's heartbeat.  Longer watches mean fewer calls, and each call has a cost."""
-MINIMUM_WATCH_INTERVAL_S = {Subject.ROUTES: 0.2, Subject.BACKENDS: 1.0}
-"""Minimum seconds from the start of one watch to the start of the next, so that changes in quick succession
-are answered together: each call has a cost."""
-START_PHASE_DURATION_S = 3.0
-"""Seconds after a watcher begins in which watches follow each other at a shorter interval: after a restart
-of all processes, entries that expired while the store was unreachable are written again in this time."""
-START_WATCH_INTERVAL_S = 0.2
-"""Minimum seconds from the start of one watch to the next during `START_PHASE_DURATION_S`."""
 REREAD_AFTER_BREAK_S = 1.2
 """Seconds from the first read after a failed call until everything is read once more: the store may answer
 from a replica that is up to one second behind."""
@@ -79,7 +71,7 @@
         self._is_reading = False
         self._is_reading_stale = False
         self._may_read_stale = subject is Subject.BACKENDS
-        self._watch = WatchInFlight()
+        self._watch = WatchInFlight(subject)
         self._next_call_at = 0.0
         self._read_at = -NEVER
         self._read_issued_at = -NEVER
@@ -87,7 +79,6 @@
         self._follows_failure = False
         self._is_read_required = False
         self._has_content = False
-        self._start_phase_until = -NEVER
         self._was_confirmed = False
         self.is_watcher = False
         self.confirmed_at = -NEVER
@@ -145,9 +136,9 @@
         self.is_watcher = True
         self._is_valid = False
         self._watch.give_up()
+        self._watch.start_phase(now)
         self._may_read_stale = False
         self._follows_failure = False
-        self._start_phase_until = now + START_PHASE_DURATION_S
         self._read_at = now
         self._next_call_at = now
 
@@ -273,10 +264,7 @@
             return
         self._watch.end()
         self._answered(revision)
-        interval_s = MINIMUM_WATCH_INTERVAL_S[self._subject]
-        if now < self._start_phase_until:
-            interval_s = min(interval_s, START_WATCH_INTERVAL_S)
-        self._next_call_at = self._watch.next_at(interval_s, now)
+        self._next_call_at = self._watch.next_at(now)
 
     def is_given_up(self, generation: int) -> bool:
         """Return whether the watch of a generation was given up."""
