--- a/features/steps/forwarding_lost_answers_steps.py
+++ b/features/steps/forwarding_lost_answers_steps.py
@@ -70,9 +70,10 @@
         self.fleet.store.put(self.next_number, self.fleet.now)
 
     def leave(self):
-        """Let the first back end that is ready say that it leaves."""
-        self.add()
-        entry = next(each for each in self._entries() if each.state is BackendState.READY)
+        """Let the first back end that is ready say that it leaves, after adding one if none is."""
+        if not self._ready_entries():
+            self.add()
+        entry, *_ = self._ready_entries()
         self.fleet.store.put(entry.number, self.fleet.now, BackendState.LEAVING, entry.hall)
 
     def remove(self):
@@ -105,6 +106,9 @@
     def _entries(self):
         return list(self.fleet.store.backends.values())
 
+    def _ready_entries(self):
+        return [each for each in self._entries() if each.state is BackendState.READY]
+
 
 KINDS = {
     "a back end is added": Changes.add,
