--- a/features/forwarding/lost_answers.feature
+++ b/features/forwarding/lost_answers.feature
@@ -23,6 +23,23 @@
       | 20    | a back end is gone         | other keys change          | 0.5      |
       | 20    | the routes change          | a back end is added        | 0.15     |
 
+  Scenario Outline: A change whose answers are lost is known although the other watch goes on
+    Guards against a change that is hidden by the answers to a watch that works, in either direction.
+    Given a simulated fleet of <count> forwarding nodes whose store may lose answers
+    When the store loses the answers to watches of the <subject> while <hidden>
+    And <later> every <interval> seconds for 3 seconds
+    Then all nodes of the forwarding fleet know the change whose answers were lost
+
+    Examples:
+      | count | subject   | hidden                     | later                      | interval |
+      | 7     | routes    | the routes change          | a back end begins to leave | 0.5      |
+      | 7     | routes    | a zone is evacuated        | a back end is added        | 0.5      |
+      | 3     | routes    | the routes change          | a back end is gone         | 0.5      |
+      | 1     | routes    | a zone is evacuated        | a back end is added        | 0.5      |
+      | 20    | routes    | the routes change          | a back end moves its zone  | 0.5      |
+      | 7     | back ends | a back end begins to leave | the routes change          | 0.5      |
+      | 3     | back ends | a back end is gone         | a zone is evacuated        | 0.5      |
+
   Scenario: The next change after lost answers arrives by a new watch
     Guards against a silent watch that is kept until its time limit, so that each later change must be missed
     before it is found.
--- a/features/steps/forwarding_lost_answers_steps.py
+++ b/features/steps/forwarding_lost_answers_steps.py
@@ -120,6 +120,8 @@
     "other keys change": Changes.other,
 }
 
+SUBJECTS = {"routes": Subject.ROUTES, "back ends": Subject.BACKENDS}
+
 
 @given("a simulated fleet of {count:d} forwarding nodes whose store may lose answers")
 def lossy_fleet(context, count):
@@ -148,6 +150,17 @@
     context.fleet.is_lost = lambda command: False
 
 
+@when("the store loses the answers to watches of the {subject} while {hidden}")
+def loses_one_subject(context, subject, hidden):
+    fleet = context.fleet
+    lost = SUBJECTS[subject]
+    fleet.is_lost = lambda command: isinstance(command, WatchSubject) and command.subject is lost
+    KINDS[hidden](context.changes)
+    context.hidden_revision = fleet.store.revision
+    fleet.run(HIDDEN_LOST_S)
+    fleet.is_lost = lambda command: False
+
+
 @when("the store loses the answers to watches while a back end is added, and serves for {seconds:g} seconds")
 def loses_once(context, seconds):
     lose_watches(context, LOST_S, Changes.add)
