--- a/features/forwarding/foreign_entries.feature
+++ b/features/forwarding/foreign_entries.feature
@@ -75,6 +75,10 @@
     Guards against a back end that is gone and stays listed as usable, as the control is gone too.
     Then entries: any back end is a control before services are named, and only one of a named service afterwards
 
+  Scenario: A back end that starts under the id of an entry of another program is used, whoever reports it
+    Guards against a listed back end that is lost because its record is as late as the end of that entry.
+    Then entries: a record at the revision at which an entry of an unnamed service ended is applied
+
   Scenario: Entries of other programs change nothing for back ends, whatever the order
     Guards against entries of unnamed services that take tokens or addresses in any order of events.
     Then entries property: back ends are the same with and without entries of unnamed services
--- a/features/steps/forwarding_foreign_steps.py
+++ b/features/steps/forwarding_foreign_steps.py
@@ -253,6 +253,30 @@
     assert found == (other.host, other.port), found
 
 
+@then("entries: a record at the revision at which an entry of an unnamed service ended is applied")
+def applied_at_end(context):
+    started = msgspec.structs.replace(record(SERVING, revision=20), name="i-3#7")
+    entry = msgspec.structs.replace(
+        started,
+        name="i-3",
+        service=FOREIGN_SERVICE,
+        host=ELSEWHERE.host,
+        port=ELSEWHERE.port,
+        revision=10,
+    )
+    for is_from_peer in (False, True):
+        directory = BackendDirectory()
+        directory.services_named(NAMED)
+        directory.apply_record(entry, 1.0)
+        directory.mark_removed(entry.name, 20, 2.0)
+        if is_from_peer:
+            directory.apply_known(KnownBackend(started, 0.0), 0, 3.0)
+        else:
+            directory.apply_record(started, 3.0)
+        used = [each.name for each in directory.candidates(started.service)]
+        assert used == [started.name], (is_from_peer, used)
+
+
 @st.composite
 def histories(draw):
     """Return records of back ends, records of other programs, and the order in which all arrive."""
--- a/sloepond/core/forwarding/state/incarnations.py
+++ b/sloepond/core/forwarding/state/incarnations.py
@@ -68,12 +68,12 @@
             return Verdict.SET_ASIDE
         if not held.is_other_incarnation(record):
             return Verdict.APPLY
-        if record.revision > held.revision:
+        is_end_of_held = record.revision == held.revision and held.state is BackendState.DEPARTED
+        if record.revision > held.revision or is_end_of_held:
             return Verdict.REPLACE
         if is_named and is_other_service and not held.is_named:
             return Verdict.DISPLACE
-        is_end_of_held = record.revision == held.revision and held.state is BackendState.DEPARTED
-        return Verdict.REPLACE if is_end_of_held else Verdict.IGNORE
+        return Verdict.IGNORE
 
     def set_aside(self, record: BackendRecord, now: float) -> None:
         """Keep a record for the case that its service is named later."""
