--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Targets that left without a word get new flows later than `drain_ms` after their entries went."""
+"""Copies of a SYN go to the service of an older version after a newer one has taken effect."""
 
 from __future__ import annotations
 
@@ -6,54 +6,65 @@
 import time
 from pathlib import Path
 
-from deployment import CONTACT_S, DRAIN_S, Deployment, run_case, send_steadily
+from deployment import ROLLBACK_SLACK_S, Deployment, route, run_case
 
-KILLED = 4
-DOWN_S = 2.0
-GAP_S = 3.0
-TRAFFIC_S = 14.0
+TRAFFIC_S = 2.5
+FULL_BEFORE_S, FULL_AFTER_S = 0.4, 0.4
 
 
-async def case(deployment: Deployment) -> bool:
-    """Take a service's targets away one at a time; kill four of seven balancers as the last one leaves."""
-    began = time.monotonic()
-    traffic = asyncio.ensure_future(send_steadily(deployment, 1, 8443, began + TRAFFIC_S))
-    *earlier, last = deployment.service("archive")
-    gone = {}
-    for target in earlier:
-        gone[target.identity] = deployment.store.put(f"servers/{target.identity}", None)
-        deployment.note(f"entry of {target.identity} removed, it serves on")
-        await asyncio.sleep(GAP_S)
-    readers = deployment.readers()
-    deployment.note(f"readers {readers}")
-    others = [each.name for each in deployment.fleet.balancers if each.name not in readers]
-    killed = [deployment.fleet.by_name(name) for name in [*readers, *others][:KILLED]]
-    if deployment.has_trouble:
-        for balancer in killed:
-            balancer.kill()
-        deployment.note(f"killed {[each.name for each in killed]}")
-    gone[last.identity] = deployment.store.put(f"servers/{last.identity}", None)
-    deployment.note(f"entry of {last.identity} removed, it serves on")
-    await asyncio.sleep(DOWN_S)
-    if deployment.has_trouble:
-        for balancer in killed:
-            balancer.start()
-    await traffic
-    await asyncio.sleep(1.5)
-    late = 0
+async def send_often(deployment: Deployment, until: float) -> None:
+    """Open a flow in each zone every 20 ms."""
+    while time.monotonic() < until:
+        for clients in deployment.clients:
+            clients.begin(deployment.hosts[2], 443)
+        await asyncio.sleep(0.02)
+
+
+def effects_seen(deployment: Deployment) -> dict[str, float]:
+    """Return when a target of the new service first took a flow of the route, by machine."""
+    seen: dict[str, float] = {}
     for target in deployment.service("archive"):
-        bound = gone[target.identity] + DRAIN_S
         for when, flow, copy in target.openings:
+            if flow[2:] == (deployment.hosts[2], 443):
+                _, through = deployment.attempt(flow).sent[copy]
+                seen[through] = min(when, seen.get(through, when))
+    return seen
+
+
+async def case(deployment: Deployment) -> bool:
+    """Move a route to another service while the targets of the old one are full for a moment."""
+    traffic = asyncio.ensure_future(send_often(deployment, time.monotonic() + TRAFFIC_S))
+    await asyncio.sleep(0.5)
+    for target in deployment.service("playback"):
+        target.is_full = deployment.has_trouble
+    await asyncio.sleep(FULL_BEFORE_S)
+    kept = [each for each in deployment.routes if each["name"] != "bookmark-sync"]
+    moved = route("bookmark-sync-2", deployment.hosts[2], 443, "archive", "unsafe")
+    acknowledged = deployment.put_configuration([*kept, moved])
+    await asyncio.sleep(FULL_AFTER_S)
+    for target in deployment.service("playback"):
+        target.is_full = False
+    await traffic
+    await asyncio.sleep(2.5)
+    seen = effects_seen(deployment)
+    deployment.note(
+        f"effect of the version seen: { {name: deployment.at(seen[name]) for name in sorted(seen)} }"
+    )
+    back = 0
+    for target in deployment.service("playback"):
+        runs = {flow: identity for _, flow, identity in target.runs}
+        for _, flow, copy in target.openings:
             sent_at, through = deployment.attempt(flow).sent[copy]
-            is_in_touch = sent_at - deployment.fleet.by_name(through).started_at > CONTACT_S
-            if when > bound and is_in_touch:
-                late += 1
+            if flow in runs and sent_at > seen.get(through, sent_at) + ROLLBACK_SLACK_S:
+                back += 1
                 deployment.note(
-                    f"LATE SYN {flow} sent {deployment.at(sent_at)} through {through} at {target.identity} "
-                    f"{deployment.at(when)}, {when - gone[target.identity]:.3f} s after its entry went"
+                    f"BACK {runs[flow]}: SYN copy {copy} sent {deployment.at(sent_at)} through {through}, "
+                    f"{sent_at - seen[through]:.3f} s after archive had taken a flow of the route "
+                    f"through it and {sent_at - acknowledged:.3f} s after the acknowledgement; run by "
+                    f"{target.identity} of playback"
                 )
-    deployment.note(f"flows opened at targets gone for longer than drain_ms, by machines in touch: {late}")
-    return not late
+    deployment.note(f"requests handled as only the older version allows: {back}")
+    return not back
 
 
 run_case(Path(__file__).parent, case)
